--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,393 @@
+// Package fleet holds the words that the decisions and their hosts share: ids, times, the site as it
+// is told at start, the events that a governor hears and the orders that it gives. It knows no wire and
+// decides nothing.
+package fleet
+
+// Time is a moment on the governor's clock or a stretch of it, in whole nanoseconds.
+type Time int64
+
+// Common stretches of time.
+const (
+	Millisecond Time = 1_000_000
+	Second      Time = 1_000 * Millisecond
+)
+
+// Seconds gives a stretch as a number of seconds, for rates.
+func (t Time) Seconds() float64 { return float64(t) / float64(Second) }
+
+// Scale gives a stretch times a factor.
+func (t Time) Scale(by float64) Time { return Time(float64(t) * by) }
+
+// Ids tell nothing of what they name, neither by order nor by size.
+type (
+	ServerID   uint32
+	ProxyID    uint16
+	TableID    uint16
+	GovernorID uint16
+	PeerID     uint32
+	ClassID    uint8
+	ZoneID     uint8
+	KindID     uint8
+	CellID     uint16
+	AlarmID    uint32
+	MarkID     uint64
+	ListRev    uint64
+)
+
+// EveryTable stands for all tables in a Level order.
+const EveryTable TableID = 65535
+
+// EveryPeer addresses a Tell to all other governors.
+const EveryPeer PeerID = 1<<32 - 1
+
+// Effect says what running a visit twice would do.
+type Effect uint8
+
+// The effects of a visit class.
+const (
+	Safe   Effect = iota // repeats do no harm
+	Keyed                // servers of one group drop a repeat for a while
+	Unsafe               // must never run twice
+)
+
+// Group says which servers know a keyed visit's repeats.
+type Group uint8
+
+// The groups of servers.
+const (
+	GroupAll Group = iota
+	GroupZone
+	GroupCell
+)
+
+// Admission says what the amount in a level means.
+type Admission uint8
+
+// The ways of admission.
+const (
+	AdmitAll   Admission = iota // amounts are disregarded, retry modes are honoured
+	AdmitShare                  // a share of the visits, 1 or more meaning all
+	AdmitRate                   // visits a second at each proxy
+)
+
+// Retry says when a proxy tries a visit again.
+type Retry uint8
+
+// The retry modes.
+const (
+	RetryNever      Retry = iota
+	RetryIfNeverRan       // once, after proof that the first try never ran
+	RetryOnce             // once, after any failure
+	RetryTwice            // twice, after any failure
+)
+
+// ListWeight says what the weight of a list entry means.
+type ListWeight uint8
+
+// The meanings of a listed weight.
+const (
+	WeightNone    ListWeight = iota // always 1
+	WeightNominal                   // the registered size
+	WeightRough                     // the size, about
+	WeightLive                      // the size over what was held some time ago
+)
+
+// ReportWay says where servers' load reports are found.
+type ReportWay uint8
+
+// The ways of load reports.
+const (
+	ReportNever ReportWay = iota
+	ReportInline
+	ReportOnProbe
+)
+
+// LoadField names a figure of a load report.
+type LoadField uint8
+
+// The figures that a load report may hold; those unknown to us are FieldOther.
+const (
+	FieldOther LoadField = iota
+	FieldHeld
+	FieldQueue
+	FieldBusy
+	FieldServiceMs
+	FieldRate
+	FieldErrorRate
+)
+
+// VisitClass is one kind of visit, as the site states it.
+type VisitClass struct {
+	Name       string
+	Effect     Effect
+	Group      Group
+	Window     Time // how long the group drops repeats, from the first try that may have run
+	Expected   Time // an answer within this has full value
+	HardStop   Time // the client waits no longer, over all its tries
+	Value      float64
+	LateShare  float64 // part of the value that an answer past the expected time keeps
+	StaysLocal bool    // only to servers of the proxy's zone
+	Writes     bool
+}
+
+// Site is what a governor is told at its start.
+type Site struct {
+	Me        int // this governor's number
+	Governors int
+	Zone      ZoneID
+	Zones     []string
+	Kinds     []string
+	Classes   []VisitClass
+	Tick      Time // shortest time between two batches
+
+	ListOnRequest bool
+	ListWeight    ListWeight
+	Report        ReportWay
+	LoadFields    []LoadField
+	Probes        bool // probing servers is allowed
+	Peers         bool // messages among governors are allowed
+
+	Admission      Admission
+	Proxies        int // over all governors
+	JoinByZone     bool
+	Standing       int     // most servers in a proxy's standing table
+	Slices         int     // 0: a proxy is joined to one governor at a time
+	Exclusive      bool    // a slice has just one owner
+	Tenure         Time    // exclusive: how long a proxy sends writes without its governor
+	InFlightMost   Time    // a write in hand is finished within this
+	PerTry         float64 // a try that may be followed waits this many expected times
+	RetryDefault   Retry
+	OutlierAfter   int // a proxy avoids a server after so many failures in a row; 0: never
+	ConnLeast      float64
+	ReportEvery    Time
+	ReportsPerS    float64
+	Travel         Time // mean way of a message
+	TravelMost     Time
+	LinesPerS      float64
+	MessageHead    float64 // lines that each message costs beside its own
+	BacklogMost    float64 // lines
+	MessagesMost   int     // to one proxy within MessagesOver; 0: no limit
+	MessagesOver   Time
+	BareMost       Time // a proxy may lack a line for a class so long
+	ConnectTimeout Time
+
+	ColdFrom      float64
+	ColdFor       Time
+	FallFactor    float64
+	FallFor       Time
+	DrainGrace    Time
+	AskWithin     Time // on request: without asking for so long we count as told
+	GoneDoesNot   bool // only an entry that says draining binds, not one that is gone
+	WorstClassPay float64
+	WholePay      float64
+}
+
+// ServerState is what the list says of a server.
+type ServerState uint8
+
+// The states of a list entry.
+const (
+	Ready ServerState = iota
+	Draining
+	Gone
+)
+
+// ListScope is what a list event holds.
+type ListScope uint8
+
+// The scopes of a list event.
+const (
+	ListFull   ListScope = iota // the complete list
+	ListDelta                   // changed entries
+	ListFailed                  // a call failed or the watch broke; no entries
+	ListCached                  // the complete list as last held, maybe stale
+)
+
+// Entry is one server in a list.
+type Entry struct {
+	Server  ServerID
+	State   ServerState
+	Cell    CellID
+	Started Time // its latest start; 0: long ago
+	Zone    ZoneID
+	Kind    KindID
+	Weight  float64
+}
+
+// Outcome is how a probe ended.
+type Outcome uint8
+
+// The outcomes of a probe.
+const (
+	Answered Outcome = iota
+	Failed
+	TurnedAway
+	NoAnswer
+	Unreachable
+	Broken
+	OtherOutcome
+)
+
+// Event is something that a governor hears.
+type Event interface{ event() }
+
+// The events, in the order of the wire's page.
+type (
+	// List tells of servers. Entries belong to the host and must not be changed.
+	List struct {
+		Scope   ListScope
+		Rev     ListRev
+		Entries []Entry
+	}
+	// Alarm is a timer come due.
+	Alarm struct{ ID AlarmID }
+	// Probed is the result of a probe.
+	Probed struct {
+		Server  ServerID
+		Outcome Outcome
+		Took    Time
+		Load    []float32
+	}
+	// Message comes from another governor.
+	Message struct {
+		From GovernorID
+		Data []byte
+	}
+	// Joined tells of a proxy's new stream. Fresh: it holds standing tables only.
+	Joined struct {
+		Proxy  ProxyID
+		Zone   ZoneID
+		Weight float64 // visits a second that it usually gets
+		Fresh  bool
+	}
+	// Left tells of a broken stream.
+	Left struct{ Proxy ProxyID }
+	// Heard sums up what the proxies of a zone met at a server.
+	Heard struct {
+		Server  ServerID
+		Failed  uint32
+		Tries   uint32
+		Latency Time // mean of the good ones
+		Span    Time
+		Zone    ZoneID
+		Load    []float32
+	}
+	// Usage sums up the visits of a class that came to a proxy.
+	Usage struct {
+		Proxy    ProxyID
+		Class    ClassID
+		Visits   uint32
+		NoAnswer uint32
+		Span     Time
+	}
+	// SliceUsage sums up the visits of a class that came for a slice.
+	SliceUsage struct {
+		Slice    TableID
+		Class    ClassID
+		Visits   uint32
+		NoAnswer uint32
+		Span     Time
+	}
+	// Charge hands a slice to this governor or takes it back.
+	Charge struct {
+		Slice TableID
+		Given bool
+	}
+	// StoredLine is one line of a slice just given.
+	StoredLine struct {
+		Slice  TableID
+		Server ServerID
+		Weight float64
+	}
+	// Applied tells that a proxy has taken in a marked message.
+	Applied struct {
+		Proxy ProxyID
+		Mark  MarkID
+		Took  Time
+	}
+)
+
+func (List) event()       {}
+func (Alarm) event()      {}
+func (Probed) event()     {}
+func (Message) event()    {}
+func (Joined) event()     {}
+func (Left) event()       {}
+func (Heard) event()      {}
+func (Usage) event()      {}
+func (SliceUsage) event() {}
+func (Charge) event()     {}
+func (StoredLine) event() {}
+func (Applied) event()    {}
+
+// ClassSet is a set of classes: the sum of 2^k over their positions; 0 stands for all.
+type ClassSet uint16
+
+// Order is something that a governor wants done.
+type Order interface{ order() }
+
+// The orders, in the order of the wire's page.
+type (
+	// SetAlarm asks for an Alarm after a while.
+	SetAlarm struct {
+		After Time
+		ID    AlarmID
+	}
+	// Probe checks a server.
+	Probe struct{ Server ServerID }
+	// Tell sends up to 256 bytes to a peer.
+	Tell struct {
+		To   PeerID
+		Data []byte
+	}
+	// Log adds a line to the report.
+	Log struct{ Text string }
+	// Watch asks the list for changes from now on, or no more.
+	Watch struct{ On bool }
+	// Fetch asks for the whole list once.
+	Fetch struct{}
+	// Share sets a line of a table; weight 0 removes it.
+	Share struct {
+		Table  TableID
+		Server ServerID
+		Weight float32
+	}
+	// Clear empties a table.
+	Clear struct{ Table TableID }
+	// Withdraw shuts a server out of all tables that joined proxies hold, or lets it in again.
+	Withdraw struct {
+		Server ServerID
+		Out    bool
+	}
+	// Bind puts a proxy on a table for some classes.
+	Bind struct {
+		Proxy   ProxyID
+		Table   TableID
+		Classes ClassSet
+	}
+	// Level sets how much of some classes is let in and when proxies try again.
+	Level struct {
+		Table   TableID
+		Classes ClassSet
+		Amount  float32
+		Retry   Retry
+	}
+	// Mark asks for an Applied. All: also from proxies that this reply doesn't reach.
+	Mark struct {
+		ID  MarkID
+		All bool
+	}
+)
+
+func (SetAlarm) order() {}
+func (Probe) order()    {}
+func (Tell) order()     {}
+func (Log) order()      {}
+func (Watch) order()    {}
+func (Fetch) order()    {}
+func (Share) order()    {}
+func (Clear) order()    {}
+func (Withdraw) order() {}
+func (Bind) order()     {}
+func (Level) order()    {}
+func (Mark) order()     {}
--- /dev/null
+++ b/internal/wire/site.go
@@ -0,0 +1,193 @@
+package wire
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+
+	"cressknot/fleet"
+)
+
+// options is the JSON of enlist. Pointers mark the keys that a rule needs: without them we refuse to start.
+type options struct {
+	Me        int      `json:"me"`
+	Balancers int      `json:"balancers"`
+	Az        uint8    `json:"az"`
+	Dcs       []string `json:"dcs"`
+	Kinds     []string `json:"kinds"`
+	Discovery string   `json:"discovery"`
+	TickMs    float64  `json:"tickMs"`
+	Weights   string   `json:"weightSource"`
+	Grades    []struct {
+		Name       string   `json:"name"`
+		Effect     *string  `json:"effect"`
+		Group      string   `json:"group"`
+		WindowMs   float64  `json:"windowMs"`
+		TargetMs   *float64 `json:"targetMs"`
+		DeadlineMs *float64 `json:"deadlineMs"`
+		Worth      float64  `json:"worth"`
+		LateShare  float64  `json:"lateShare"`
+	} `json:"grades"`
+	Limits struct {
+		ConnectTimeoutMs float64 `json:"connectTimeoutMs"`
+		Peers            bool    `json:"peers"`
+		Probes           bool    `json:"probes"`
+	} `json:"limits"`
+	Report struct {
+		Fields []string `json:"fields"`
+		How    string   `json:"how"`
+	} `json:"report"`
+	Rules struct {
+		AskWithinMs       float64  `json:"askWithinMs"`
+		ColdFrom          *float64 `json:"coldFrom"`
+		ColdMs            *float64 `json:"coldMs"`
+		DrainGraceMs      *float64 `json:"drainGraceMs"`
+		FallMs            *float64 `json:"fallMs"`
+		OverloadFactor    *float64 `json:"overloadFactor"`
+		RemovalNotBinding bool     `json:"removalNotBinding"`
+	} `json:"rules"`
+	Goal struct {
+		Whole      float64 `json:"whole"`
+		WorstClass float64 `json:"worstClass"`
+	} `json:"goal"`
+	Family struct {
+		Admission     string   `json:"admission"`
+		Agents        int      `json:"agents"`
+		Bootstrap     int      `json:"bootstrap"`
+		ByZone        bool     `json:"byZone"`
+		ClassWrites   []bool   `json:"classWrites"`
+		CountedOverMs float64  `json:"countedOverMs"`
+		EgressPerS    *float64 `json:"egressPerS"`
+		Envelope      *float64 `json:"envelope"`
+		Exclusive     bool     `json:"exclusive"`
+		InFlightMaxMs float64  `json:"inFlightMaxMs"`
+		IntervalMs    float64  `json:"intervalMs"`
+		MostWaiting   *float64 `json:"mostWaiting"`
+		OutlierAfter  int      `json:"outlierAfter"`
+		PerTry        float64  `json:"perTry"`
+		PropagationMs float64  `json:"propagationMs"`
+		PushDelayMax  float64  `json:"pushDelayMaxMs"`
+		ReloadsMax    int      `json:"reloadsMax"`
+		ReportsPerS   float64  `json:"reportsPerS"`
+		RetryDefault  uint8    `json:"retryDefault"`
+		Shards        int      `json:"shards"`
+		SmallestConn  float64  `json:"smallestConnTable"`
+		StaysLocal    []bool   `json:"staysLocal"`
+		TenureMs      float64  `json:"tenureMs"`
+		UnservedMaxMs *float64 `json:"unservedMaxMs"`
+	} `json:"familyInfo"`
+}
+
+// ParseSite reads the settings of enlist. Unknown keys are ignored.
+func ParseSite(text []byte) (fleet.Site, error) {
+	var o options
+	if err := json.Unmarshal(text, &o); err != nil {
+		var syntax *json.SyntaxError
+		var kind *json.UnmarshalTypeError
+		switch {
+		case errors.As(err, &syntax):
+			return fleet.Site{}, fmt.Errorf("settings: byte %d: %w", syntax.Offset, err)
+		case errors.As(err, &kind):
+			return fleet.Site{}, fmt.Errorf("settings: key %s: %w", kind.Field, err)
+		}
+		return fleet.Site{}, fmt.Errorf("settings: %w", err)
+	}
+	p := parser{}
+	f := &o.Family
+	s := fleet.Site{
+		Me: o.Me, Governors: max(1, o.Balancers), Zone: fleet.ZoneID(o.Az), Zones: o.Dcs, Kinds: o.Kinds,
+		Tick:          millis(o.TickMs),
+		ListOnRequest: pick(&p, "discovery", o.Discovery, onRequest),
+		ListWeight:    pick(&p, "weightSource", o.Weights, listWeights),
+		Report:        pick(&p, "report.how", o.Report.How, reportWays),
+		Probes:        o.Limits.Probes, Peers: o.Limits.Peers,
+		Admission: pick(&p, "familyInfo.admission", f.Admission, admissions),
+		Proxies:   f.Agents, JoinByZone: f.ByZone, Standing: f.Bootstrap, Slices: f.Shards, Exclusive: f.Exclusive,
+		Tenure: millis(f.TenureMs), InFlightMost: millis(f.InFlightMaxMs), PerTry: f.PerTry,
+		RetryDefault: fleet.Retry(f.RetryDefault), OutlierAfter: f.OutlierAfter, ConnLeast: f.SmallestConn,
+		ReportEvery: millis(f.IntervalMs), ReportsPerS: f.ReportsPerS,
+		Travel: millis(f.PropagationMs), TravelMost: millis(f.PushDelayMax),
+		LinesPerS: p.need("familyInfo.egressPerS", f.EgressPerS), MessageHead: p.need("familyInfo.envelope", f.Envelope),
+		BacklogMost:  p.need("familyInfo.mostWaiting", f.MostWaiting),
+		MessagesMost: f.ReloadsMax, MessagesOver: millis(f.CountedOverMs),
+		BareMost:       millis(p.need("familyInfo.unservedMaxMs", f.UnservedMaxMs)),
+		ConnectTimeout: millis(o.Limits.ConnectTimeoutMs),
+		ColdFrom:       p.need("rules.coldFrom", o.Rules.ColdFrom),
+		ColdFor:        millis(p.need("rules.coldMs", o.Rules.ColdMs)),
+		FallFactor:     p.need("rules.overloadFactor", o.Rules.OverloadFactor),
+		FallFor:        millis(p.need("rules.fallMs", o.Rules.FallMs)),
+		DrainGrace:     millis(p.need("rules.drainGraceMs", o.Rules.DrainGraceMs)),
+		AskWithin:      millis(o.Rules.AskWithinMs),
+		GoneDoesNot:    o.Rules.RemovalNotBinding,
+		WorstClassPay:  o.Goal.WorstClass, WholePay: o.Goal.Whole,
+	}
+	for _, name := range o.Report.Fields {
+		s.LoadFields = append(s.LoadFields, loadFields[name])
+	}
+	if len(o.Grades) == 0 || len(o.Grades) > 16 {
+		p.fail("grades", fmt.Sprintf("wants 1 to 16 classes, has %d", len(o.Grades)))
+	}
+	for i, g := range o.Grades {
+		key := fmt.Sprintf("grades[%d]", i)
+		c := fleet.VisitClass{
+			Name: g.Name, Window: millis(g.WindowMs), Value: g.Worth, LateShare: g.LateShare,
+			Expected: millis(p.need(key+".targetMs", g.TargetMs)),
+			HardStop: millis(p.need(key+".deadlineMs", g.DeadlineMs)),
+		}
+		if g.Effect == nil {
+			p.fail(key+".effect", "is missing")
+		} else {
+			c.Effect = pick(&p, key+".effect", *g.Effect, effects)
+		}
+		if c.Effect == fleet.Keyed {
+			c.Group = pick(&p, key+".group", g.Group, groups)
+		}
+		c.StaysLocal = i < len(f.StaysLocal) && f.StaysLocal[i]
+		c.Writes = i < len(f.ClassWrites) && f.ClassWrites[i]
+		s.Classes = append(s.Classes, c)
+	}
+	return s, p.err
+}
+
+var (
+	onRequest   = map[string]bool{"pushed": false, "on_request": true}
+	listWeights = map[string]fleet.ListWeight{"": fleet.WeightNone, "off": fleet.WeightNone,
+		"nominal": fleet.WeightNominal, "rough": fleet.WeightRough, "live": fleet.WeightLive}
+	reportWays = map[string]fleet.ReportWay{"": fleet.ReportNever, "off": fleet.ReportNever,
+		"inline": fleet.ReportInline, "on_probe": fleet.ReportOnProbe}
+	admissions = map[string]fleet.Admission{"": fleet.AdmitAll, "off": fleet.AdmitAll,
+		"ratio": fleet.AdmitShare, "rps": fleet.AdmitRate}
+	effects = map[string]fleet.Effect{"read_like": fleet.Safe, "idempotency_key": fleet.Keyed,
+		"non_idempotent": fleet.Unsafe}
+	groups     = map[string]fleet.Group{"all": fleet.GroupAll, "zone": fleet.GroupZone, "cell": fleet.GroupCell}
+	loadFields = map[string]fleet.LoadField{"rif": fleet.FieldHeld, "q": fleet.FieldQueue, "busy": fleet.FieldBusy,
+		"lat_ms": fleet.FieldServiceMs, "rate": fleet.FieldRate, "fail_rate": fleet.FieldErrorRate}
+)
+
+// parser keeps the first thing that was wrong.
+type parser struct{ err error }
+
+func (p *parser) fail(key, what string) {
+	if p.err == nil {
+		p.err = fmt.Errorf("settings: key %s %s", key, what)
+	}
+}
+
+func (p *parser) need(key string, v *float64) float64 {
+	if v == nil {
+		p.fail(key, "is missing")
+		return 0
+	}
+	return *v
+}
+
+func pick[T any](p *parser, key, word string, known map[string]T) T {
+	v, ok := known[word]
+	if !ok {
+		p.fail(key, fmt.Sprintf("has the unknown word %q", word))
+	}
+	return v
+}
+
+func millis(ms float64) fleet.Time { return fleet.Time(math.Round(ms * float64(fleet.Millisecond))) }
