Let in what the fleet can handle and read rates by stated spans

Cause: without levels a strained fleet answered nearly all visits late, and rates taken by arrival time were wrong once reports were rationed or late.

--- a/internal/wire/write.go
+++ b/internal/wire/write.go
@@ -100,12 +100,14 @@
 	w.records++
 }
 
-func (w *Writer) u8(v uint8)          { w.buf = append(w.buf, v) }
-func (w *Writer) u16(v uint16)        { w.buf = binary.LittleEndian.AppendUint16(w.buf, v) }
-func (w *Writer) u32(v uint32)        { w.buf = binary.LittleEndian.AppendUint32(w.buf, v) }
-func (w *Writer) u64(v uint64)        { w.buf = binary.LittleEndian.AppendUint64(w.buf, v) }
-func (w *Writer) f32(v float32)       { w.u32(math.Float32bits(v)) }
-func (w *Writer) millis(t fleet.Time) { w.u64(math.Float64bits(float64(t) / float64(fleet.Millisecond))) }
+func (w *Writer) u8(v uint8)    { w.buf = append(w.buf, v) }
+func (w *Writer) u16(v uint16)  { w.buf = binary.LittleEndian.AppendUint16(w.buf, v) }
+func (w *Writer) u32(v uint32)  { w.buf = binary.LittleEndian.AppendUint32(w.buf, v) }
+func (w *Writer) u64(v uint64)  { w.buf = binary.LittleEndian.AppendUint64(w.buf, v) }
+func (w *Writer) f32(v float32) { w.u32(math.Float32bits(v)) }
+func (w *Writer) millis(t fleet.Time) {
+	w.u64(math.Float64bits(float64(t) / float64(fleet.Millisecond)))
+}
 
 func (w *Writer) flag(on bool) {
 	if on {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -9,6 +9,7 @@
 package logic
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -19,86 +20,98 @@
 const (
 	interval    = 2 * fleet.Second  // the design's shortest measurement interval; weights change once in it
 	heartbeat   = fleet.Second / 4  // alarm pace: an eighth of the interval, for joins and cold guards
-	look        = 8 * fleet.Second  // age of samples that count: some 25 tries a server, noise near a fifth
-	keep        = 128               // samples kept a server: two reports a second and zone over look
-	usageKeep   = 6                 // samples kept a proxy and class: some seconds of demand
-	slack       = 1.1               // target factor: density asked may pass the fleet's mean by a tenth
-	busyMost    = 0.85              // busy share beyond which waiting outgrows the work itself
+	longLook    = 8 * fleet.Second  // four intervals: some 25 tries a server, which brings chance to a fifth
+	shortLook   = 3 * fleet.Second  // a turn of reports and their delay: for what the whole fleet does
+	keepSamples = 128               // of a server: over two reports a second and zone within longLook
+	keepUsage   = 3                 // of a proxy and class: a few seconds of demand, as fresh as they come
+	slack       = 1.1               // target factor: asked density may pass the fleet's mean by a tenth
+	busyMost    = 0.85              // busy share past which waiting outgrows the work itself
+	busySick    = 0.9               // a server this busy is overloaded, so it is cut and not zeroed
+	busyLeast   = 0.05              // a busy share below this tells nothing of capacity
+	shifted     = 1.5               // a capacity that changed by this factor is no chance: go by the short look
 	lateFactor  = 1.5               // the design's bound of late, over the best quiet latency
-	quarter     = 0.25              // the design's weight for fresh, returning and lowest halved servers
+	quarter     = 0.25              // the design's weight of fresh, returning and lowest halved servers
 	giveBack    = 0.1               // the design's part of weight that returns an on-time interval
-	zeroedMost  = 1.0 / 3           // the design's most servers of a class held at zero
+	zeroedMost  = 1.0 / 3           // the design's most servers at zero
 	failShare   = 0.25              // failed share that tells a sick server from chance errors
-	failLeast   = 3                 // failures, so that one or two are never a verdict
+	failLeast   = 3                 // failures: one or two are never a verdict
 	hangTries   = 8                 // tries unheard of: chance alone does it once in 3000 judgements
-	enough      = 8                 // good tries for a latency worth keeping
-	longestHold = 16 * fleet.Second // doubling time at zero ends here: 8 intervals
-	settle      = 2 * fleet.Second  // time until reports can speak of a change: travel and report delay
-	takeOver    = 4 * fleet.Second  // a restarted governor watches so long before it lays its own tables
-	worstPause  = 3 * fleet.Second  // a proxy may stand still so long between a try and its repeat
+	missedTurns = 3                 // turns of reporting to miss before silence counts
+	enough      = 8                 // good tries that make a mean worth using
+	longestHold = 16 * fleet.Second // doubling time at zero ends here, after 8 intervals
+	settle      = 2 * fleet.Second  // until reports can speak of a change: travel and report delay
+	takeOver    = 4 * fleet.Second  // a restarted governor watches two intervals before it lays its own tables
 	coldSafe    = 0.8               // part of what a cold server surely can do that it is sent
-	leastChange = 0.03              // relative change of a weight worth a line
-	pace        = 0.25              // part of the stated channel pace we count on: it may be slow for a while
+	leastWeight = 0.01              // of the largest: keeps a line that can grow again
+	leastChange = 0.03              // relative change of a line or level worth sending
+	tooMuch     = 1.25              // a cold server's line this far over its bound can't wait for the interval
+	easeBack    = 0.2               // most that a level rises an interval: the let-in shall not come at once
+	levelFloor  = 0.1               // part of its visits that even the least valuable class keeps
+	rateOfAll   = 1e6               // visits a second at a proxy that stand for all
+	pace        = 0.25              // part of the stated channel pace to count on: it may be slow for a while
 	roomWeights = 0.4               // part of the backlog that ordinary changes may fill
 	roomJoins   = 0.6               // part that joins may fill; the rest is for withdrawals and cold guards
 	spareWrites = 6                 // messages to a proxy kept back for urgent orders
 	askAgain    = fleet.Second / 2  // first wait before the list is asked again; doubles, with jitter
 	askMost     = 4 * fleet.Second  // longest such wait, well inside the time after which we count as told
-	rateOfAll   = 1e6               // visits a second at a proxy that stand for all
-	noise       = 1e-9              // below this a rate is none
+	none        = 1e-9              // a rate or weight below this is none
 )
 
-// visitClass is what differs by class: what a repeat may do, what a visit is worth, where it may go.
+// visitClass is what differs by class.
 type visitClass struct {
-	retry fleet.Retry
 	value float64
-	local bool
+	local bool // stays in the proxy's zone
 }
 
-// table is one shared table: of a class, and of a zone where the class stays local.
+// table is one shared table: of a class, and of one zone where the class stays local.
 type table struct {
-	class           fleet.ClassID
-	zone            fleet.ZoneID
-	local           bool
-	demand          float64 // visits a second that came, to proxies that use this table
-	level, levelOut float64
-	retry, retryOut fleet.Retry
-	sum             float64 // of the wanted weights
+	class              fleet.ClassID
+	zone               fleet.ZoneID
+	local              bool
+	demand             float64 // visits a second that come to the proxies on it
+	level              float64 // part of them to let in
+	amount, amountOut  float64 // the same in the site's unit: wanted, ordered
+	retry, retryOut    fleet.Retry
+	total, wantedTotal float64 // of the lines ordered and not withdrawn; of the lines wanted
 }
 
-// sample is one report of a server: what ended there, or a probe's load report.
+// sample is one report: of what ended at a server, of its load, or of what came to a proxy.
 type sample struct {
-	at          fleet.Time
-	span        fleet.Time
+	at, span    fleet.Time
+	zone        fleet.ZoneID
 	tries, good float64
 	latency     fleet.Time
 	busy        float64 // negative: not told
 }
 
+// figures are worked out from the samples of a while.
+type figures struct {
+	tries, good, failed float64
+	latency             fleet.Time // mean of the good ones
+	busy                float64    // mean, negative: not told
+	handled             float64    // good tries a second
+	capacity            float64    // the same at a busy share of 1; 0: not known
+}
+
 type server struct {
 	fleet.Entry
-	listed    bool
-	samples   []sample
-	quiet     fleet.Time // best latency of a quiet window
-	lastGood  fleet.Time
-	held      float64 // part of its weight that health leaves it: 0 to 1
-	halved    bool
-	zeroUntil fleet.Time
-	hold      fleet.Time // time at zero of the last verdict
-	weight    []float64  // by table, the mechanism's
-	want      []float64  // by table, wanted out
-	out       []float64  // by table, ordered
-	withdrawn bool       // ordered
-	// figures of the last judgement
-	rate, capacity, busy, failed float64
-	latency                      fleet.Time
-	tries                        float64
+	listed            bool // in the list being read
+	samples           []sample
+	long, short       figures
+	quiet             fleet.Time // best latency seen
+	lastGood          fleet.Time
+	held              float64 // part of its weight that health leaves it, 0 to 1
+	halved            bool
+	zeroUntil, hold   fleet.Time
+	capacity          float64   // tries a second at a busy share of 1, ours only; 0: not known
+	rate              float64   // tries a second that we send, by demand and table share
+	weight, want, out []float64 // by table: the mechanism's, wanted out, ordered
+	withdrawn         bool      // ordered
 }
 
 type proxy struct {
 	zone    fleet.ZoneID
-	since   fleet.Time
-	fresh   bool
+	fresh   bool // holds standing tables only
 	bound   bool
 	usage   [][]sample // by class
 	written []fleet.Time
@@ -106,36 +119,33 @@
 
 // Governor decides for the proxies that are joined to it.
 type Governor struct {
-	site    fleet.Site
-	chance  chance
-	now     fleet.Time
-	started fleet.Time
-	begun   bool
-	classes []visitClass
-	tables  []table
-	servers map[fleet.ServerID]*server
-	order   []*server // by id
-	proxies map[fleet.ProxyID]*proxy
-	joined  []fleet.ProxyID // by number
-	busyAt  int             // position of the busy share in load reports, or -1
-	newest  fleet.Time      // arrival of the newest report on any server
-	judged  fleet.Time
-	due     bool // an interval has passed in this step
-	alarmAt fleet.Time
-	askAt   fleet.Time // when to ask for the list; 0: not now
-	askWait fleet.Time
-	waiting float64 // lines in the channel, as we count them
-	drained fleet.Time
-	orders  []fleet.Order
+	site           fleet.Site
+	chance         chance
+	classes        []visitClass
+	tables         []table
+	servers        []*server // by id
+	proxies        []*proxy  // by number, nil: not joined
+	joined         float64
+	busyAt         int // position of the busy share in load reports, or -1
+	now, started   fleet.Time
+	judged, newest fleet.Time // last judgement; arrival of the newest report of tries
+	due            bool       // an interval ends with this step
+	taking         bool       // proxies hold a former governor's tables: watch before laying our own
+	strained       bool       // demand is beyond what the fleet can handle on time
+	target         float64    // busy share that the agreed densities are made for
+	meanCapacity   float64    // of a server
+	perVisit       float64    // tries a visit let in
+	alarmAt        fleet.Time
+	askAt, askWait fleet.Time // when to ask for the list, 0: not now; the next wait
+	waiting        float64    // lines in the channel, as we count them
+	waitingAt      fleet.Time
+	wrote          bool // this reply already counts as a message to all
+	orders         []fleet.Order
 }
 
 // chance is a multiply-with-carry generator.
 type chance struct{ x, carry uint32 }
 
-func newChance(seed uint64) chance {
-	return chance{uint32(seed) | 1, uint32(seed>>32)%4294957664 + 1}
-}
-
 // next gives a number from 0 up to 1.
 func (c *chance) next() float64 {
 	t := 4294957665*uint64(c.x) + uint64(c.carry)
@@ -146,20 +156,18 @@
 // New makes a governor for a site.
 func New(site fleet.Site, seed uint64) *Governor {
 	g := &Governor{
-		site: site, chance: newChance(seed), busyAt: slices.Index(site.LoadFields, fleet.FieldBusy),
-		servers: make(map[fleet.ServerID]*server), proxies: make(map[fleet.ProxyID]*proxy), askWait: askAgain,
+		site: site, chance: chance{uint32(seed) | 1, uint32(seed>>33) | 1}, askWait: askAgain, perVisit: 1,
+		busyAt: slices.Index(site.LoadFields, fleet.FieldBusy), target: busyMost, started: -1,
 	}
 	for i, c := range site.Classes {
-		g.classes = append(g.classes, visitClass{fleet.RetryIfNeverRan, c.Value, c.StaysLocal})
-		zones := 1
-		if c.StaysLocal {
-			zones = len(site.Zones)
-		}
-		for z := range zones {
-			g.tables = append(g.tables, table{
-				class: fleet.ClassID(i), zone: fleet.ZoneID(z), local: c.StaysLocal,
-				level: 1, levelOut: -1, retry: fleet.RetryIfNeverRan,
-			})
+		g.classes = append(g.classes, visitClass{c.Value, c.StaysLocal})
+		for z := range site.Zones {
+			if z == 0 || c.StaysLocal {
+				g.tables = append(g.tables, table{
+					class: fleet.ClassID(i), zone: fleet.ZoneID(z), local: c.StaysLocal,
+					level: 1, amount: rateOfAll, retry: fleet.RetryIfNeverRan,
+				})
+			}
 		}
 	}
 	return g
@@ -167,9 +175,9 @@
 
 // Step hears events and gives the orders to carry out now. The orders are good until the next Step.
 func (g *Governor) Step(now fleet.Time, events []fleet.Event) []fleet.Order {
-	g.now, g.orders, g.due = now, g.orders[:0], false
-	if !g.begun {
-		g.begun, g.started, g.judged, g.drained = true, now, now, now
+	g.now, g.orders = now, g.orders[:0]
+	if g.started < 0 {
+		g.started, g.judged, g.waitingAt = now, now, now
 		if g.site.ListOnRequest {
 			g.askAt = now
 		}
@@ -177,64 +185,86 @@
 	for _, e := range events {
 		g.observe(e)
 	}
-	if now >= g.judged+interval {
-		g.judged, g.due = now, true
-		g.judge()
-		g.balance()
+	if g.due = now >= g.judged+interval; g.due {
+		g.judged = now
+		g.measure()
+		g.admit()
+		if g.taking && now >= g.started+takeOver {
+			g.adopt()
+		} else if !g.taking {
+			g.judge()
+			g.balance()
+		}
 	}
 	g.wish()
 	g.reconcile()
 	return g.orders
 }
 
+func (g *Governor) log(format string, args ...any) {
+	g.orders = append(g.orders, fleet.Log{Text: fmt.Sprintf(format, args...)})
+}
+
 // observe takes in one event.
 func (g *Governor) observe(event fleet.Event) {
 	switch e := event.(type) {
 	case fleet.List:
 		g.list(e)
 	case fleet.Joined:
-		g.leave(e.Proxy)
-		p := &proxy{zone: e.Zone, since: g.now, fresh: e.Fresh, usage: make([][]sample, len(g.classes))}
-		g.proxies[e.Proxy] = p
-		at, _ := slices.BinarySearch(g.joined, e.Proxy)
-		g.joined = slices.Insert(g.joined, at, e.Proxy)
+		for int(e.Proxy) >= len(g.proxies) {
+			g.proxies = append(g.proxies, nil)
+		}
+		g.proxies[e.Proxy] = &proxy{zone: e.Zone, fresh: e.Fresh, usage: make([][]sample, len(g.classes))}
+		g.taking = g.taking || !e.Fresh && g.now < g.started+takeOver
 	case fleet.Left:
-		g.leave(e.Proxy)
+		if int(e.Proxy) < len(g.proxies) {
+			g.proxies[e.Proxy] = nil
+		}
 	case fleet.Heard:
-		if s := g.servers[e.Server]; s != nil {
+		if s := g.server(e.Server); s != nil {
 			good := float64(e.Tries) - float64(e.Failed)
-			m := sample{at: g.now, span: e.Span, tries: float64(e.Tries), good: good, latency: e.Latency, busy: -1}
-			if g.busyAt >= 0 && g.busyAt < len(e.Load) {
-				m.busy = float64(e.Load[g.busyAt])
-			}
-			s.samples = last(append(s.samples, m), keep)
+			s.add(sample{g.now, e.Span, e.Zone, float64(e.Tries), good, e.Latency, g.busyIn(e.Load)})
+			g.newest = g.now
 			if good > 0 {
 				s.lastGood = g.now
 			}
-			g.newest = g.now
 		}
 	case fleet.Probed:
-		if s := g.servers[e.Server]; s != nil && e.Outcome == fleet.Answered &&
-			g.busyAt >= 0 && g.busyAt < len(e.Load) {
-			s.samples = last(append(s.samples, sample{at: g.now, span: interval, busy: float64(e.Load[g.busyAt])}), keep)
+		if s := g.server(e.Server); s != nil && e.Outcome == fleet.Answered {
+			s.add(sample{at: g.now, busy: g.busyIn(e.Load)})
 		}
 	case fleet.Usage:
-		if p := g.proxies[e.Proxy]; p != nil && int(e.Class) < len(p.usage) {
-			m := sample{at: g.now, span: e.Span, tries: float64(e.Visits)}
-			p.usage[e.Class] = last(append(p.usage[e.Class], m), usageKeep)
+		if int(e.Proxy) < len(g.proxies) && g.proxies[e.Proxy] != nil && int(e.Class) < len(g.classes) {
+			p := g.proxies[e.Proxy]
+			u := append(p.usage[e.Class], sample{at: g.now, span: e.Span, tries: float64(e.Visits)})
+			p.usage[e.Class] = u[max(0, len(u)-keepUsage):]
 		}
 	}
 }
 
-func last(samples []sample, most int) []sample {
-	return samples[max(0, len(samples)-most):]
+func (s *server) add(m sample) {
+	s.samples = append(s.samples, m)
+	s.samples = s.samples[max(0, len(s.samples)-keepSamples):]
 }
 
-func (g *Governor) leave(id fleet.ProxyID) {
-	if at, found := slices.BinarySearch(g.joined, id); found {
-		g.joined = slices.Delete(g.joined, at, at+1)
-		delete(g.proxies, id)
+func (g *Governor) busyIn(load []float32) float64 {
+	if g.busyAt < 0 || g.busyAt >= len(load) {
+		return -1
 	}
+	return float64(load[g.busyAt])
+}
+
+func (g *Governor) find(id fleet.ServerID) (int, bool) {
+	return slices.BinarySearchFunc(g.servers, id, func(s *server, id fleet.ServerID) int {
+		return cmp.Compare(s.Server, id)
+	})
+}
+
+func (g *Governor) server(id fleet.ServerID) *server {
+	if at, known := g.find(id); known {
+		return g.servers[at]
+	}
+	return nil
 }
 
 // list follows the list of servers. A server that a full list lacks is gone.
@@ -244,151 +274,110 @@
 		g.askWait = min(askMost, 2*g.askWait)
 		return
 	}
-	if e.Scope != fleet.ListCached {
-		g.askWait = askAgain
-	}
-	if e.Scope != fleet.ListDelta {
-		for _, s := range g.order {
-			s.listed = false
-		}
+	g.askWait = askAgain
+	for _, s := range g.servers {
+		s.listed = e.Scope == fleet.ListDelta && s.State != fleet.Gone
 	}
-	first := len(g.order) == 0
+	atStart := len(g.servers) == 0
 	for _, entry := range e.Entries {
-		s := g.servers[entry.Server]
-		if s == nil {
+		at, known := g.find(entry.Server)
+		if !known {
 			n := len(g.tables)
-			s = &server{held: 1, weight: make([]float64, n), want: make([]float64, n), out: make([]float64, n)}
-			g.servers[entry.Server] = s
-			at, _ := slices.BinarySearchFunc(g.order, entry.Server, byID)
-			g.order = slices.Insert(g.order, at, s)
-			s.Entry = entry
-			g.renew(s, first)
-		} else if entry.Started != s.Started || s.State == fleet.Gone && entry.State != fleet.Gone {
-			s.Entry = entry
-			g.renew(s, false)
-		}
-		s.Entry, s.listed = entry, true
-	}
-	for _, s := range g.order {
+			s := &server{weight: make([]float64, n), want: make([]float64, n), out: make([]float64, n)}
+			g.servers = slices.Insert(g.servers, at, s)
+		}
+		s := g.servers[at]
+		anew := !known || entry.Started != s.Started || s.State == fleet.Gone && entry.State != fleet.Gone
+		s.Entry, s.listed = entry, entry.State != fleet.Gone
+		if anew {
+			g.renew(s, atStart)
+		}
+	}
+	for _, s := range g.servers {
 		if !s.listed {
 			s.State = fleet.Gone
 		}
 	}
 }
 
-func byID(s *server, id fleet.ServerID) int {
-	return int(int64(s.Server) - int64(id))
-}
-
-// renew starts a server over: nothing is known of it, and unless it is there from our start it is fresh.
-func (g *Governor) renew(s *server, old bool) {
-	s.samples, s.quiet, s.lastGood, s.halved, s.held = nil, 0, g.now+settle, false, 1
-	s.capacity, s.zeroUntil, s.hold = 0, 0, 0
-	if !old || g.cold(s) {
-		s.held = quarter
+// renew starts a server over: nothing is known of it, and unless it was up before we were it is fresh.
+func (g *Governor) renew(s *server, atStart bool) {
+	s.samples, s.long, s.short, s.quiet, s.capacity = nil, figures{busy: -1}, figures{busy: -1}, 0, 0
+	s.lastGood, s.halved, s.held, s.zeroUntil, s.hold = g.now+settle, false, quarter, 0, 0
+	if atStart && !g.cold(s) {
+		s.held = 1
 	}
 	for t := range g.tables {
 		sum, n := 0.0, 0.0
-		for _, o := range g.order {
+		for _, o := range g.servers {
 			if o != s && o.State == fleet.Ready && o.weight[t] > 0 {
 				sum, n = sum+o.weight[t], n+1
 			}
 		}
-		s.weight[t] = 1
-		if old && g.site.ListWeight != fleet.WeightNone && s.Weight > 0 {
+		switch {
+		case atStart && g.site.ListWeight != fleet.WeightNone && s.Weight > 0:
 			s.weight[t] = s.Weight
-		} else if n > 0 && !old {
+		case atStart || n == 0:
+			s.weight[t] = 1
+		default:
 			s.weight[t] = sum / n
 		}
 	}
 }
 
-func (g *Governor) cold(s *server) bool {
-	return s.Started > 0 && g.now < s.Started+g.site.ColdFor
-}
+func (g *Governor) cold(s *server) bool { return s.Started > 0 && g.now < s.Started+g.site.ColdFor }
 
-// serves tells whether a server may stand in a table at all.
-func (g *Governor) serves(s *server, t int) bool {
+// open tells whether a server may stand in a table.
+func (g *Governor) open(s *server, t int) bool {
 	return s.State == fleet.Ready && (!g.tables[t].local || s.Zone == g.tables[t].zone)
 }
 
-// judge works out each server's figures from its samples, and what its health leaves of its weight.
-func (g *Governor) judge() {
+// measure works out demand, each server's figures and those of the fleet.
+func (g *Governor) measure() {
+	demand := 0.0
 	for t := range g.tables {
-		g.tables[t].demand = 0
-	}
-	for _, id := range g.joined {
-		p := g.proxies[id]
-		for t := range g.tables {
-			if b := &g.tables[t]; !b.local || b.zone == p.zone {
+		b := &g.tables[t]
+		b.demand, b.total = 0, 0
+		for _, p := range g.proxies {
+			if p != nil && (!b.local || p.zone == b.zone) {
 				b.demand += rate(p.usage[b.class])
 			}
 		}
+		for _, s := range g.servers {
+			if !s.withdrawn {
+				b.total += s.out[t]
+			}
+		}
+		demand += b.demand * b.level
 	}
-	ready, zeroed, late := 0, 0, 0
-	triesAll, failedAll := 0.0, 0.0
-	for _, s := range g.order {
+	load, capacity, known, tries := 0.0, 0.0, 0.0, 0.0
+	for _, s := range g.servers {
+		s.rate = 0
 		if s.State != fleet.Ready {
 			continue
 		}
-		g.measure(s)
-		triesAll, failedAll = triesAll+s.tries, failedAll+s.failed
-		ready++
-		if s.held == 0 {
-			zeroed++
+		for t := range g.tables {
+			if b := &g.tables[t]; b.total > 0 {
+				s.rate += b.demand * b.level * s.out[t] / b.total
+			}
 		}
-		if g.late(s) {
-			late++
+		s.long, s.short = s.figures(g.now-longLook, len(g.site.Zones)), s.figures(g.now-shortLook, len(g.site.Zones))
+		tries += s.short.tries
+		if s.long.latency > 0 && (s.quiet == 0 || s.long.latency < s.quiet) {
+			s.quiet = s.long.latency
 		}
-	}
-	common := 0.0
-	if triesAll > 0 {
-		common = failedAll / triesAll
-	}
-	for _, s := range g.order {
-		if s.State != fleet.Ready {
-			continue
+		if s.capacity = s.long.capacity; s.short.capacity > 0 &&
+			max(s.short.capacity/s.long.capacity, s.long.capacity/s.short.capacity) > shifted {
+			s.capacity = s.short.capacity
 		}
-		silent := s.held > 0 && s.rate*(g.newest-s.lastGood).Seconds() > hangTries
-		sick := s.held > 0 && s.failed >= failLeast && s.failed > s.tries*max(failShare, 2*common)
-		switch {
-		case silent || sick:
-			s.hold = min(longestHold, max(interval, 2*s.hold))
-			s.zeroUntil = g.now + s.hold
-			s.held = quarter
-			if float64(zeroed+1) <= float64(ready)*zeroedMost {
-				s.held = 0
-				zeroed++
-			}
-			g.log("server %d zeroed: silent=%v failed=%.0f of %.0f", s.Server, silent, s.failed, s.tries)
-			s.samples = s.samples[:0]
-		case s.held == 0:
-			if g.now >= s.zeroUntil {
-				s.held = quarter
-				s.lastGood = g.now + settle
-				g.log("server %d returns at quarter weight", s.Server)
-			}
-		case g.late(s) && 2*late <= ready:
-			if !s.halved && s.rate < s.capacity*g.target() {
-				s.held, s.halved = max(quarter, s.held/2), true
-				g.log("server %d late, halved: %.0f ms, quiet %.0f", s.Server, s.latency.Seconds()*1000, s.quiet.Seconds()*1000)
-			}
-		default:
-			s.halved = false
-			s.held = min(1, s.held+giveBack)
-			if s.held == 1 {
-				s.hold = 0
-			}
+		if s.capacity > 0 {
+			load, capacity, known = load+s.rate, capacity+s.capacity, known+1
 		}
 	}
-}
-
-func (g *Governor) log(format string, args ...any) {
-	g.orders = append(g.orders, fleet.Log{Text: fmt.Sprintf(format, args...)})
-}
-
-func (g *Governor) late(s *server) bool {
-	return s.quiet > 0 && s.latency > s.quiet.Scale(lateFactor)
+	if known > 0 {
+		g.target, g.meanCapacity = min(busyMost, slack*load/capacity), capacity/known
+	}
+	g.perVisit = max(1, tries/shortLook.Seconds()/max(demand, none))
 }
 
 // rate gives events a second over some samples.
@@ -397,217 +386,290 @@
 	for _, m := range samples {
 		n, span = n+m.tries, span+m.span
 	}
-	if span <= 0 {
-		return 0
-	}
-	return n / span.Seconds()
+	return n / max(span.Seconds(), none)
 }
 
-// measure works out a server's figures from the samples that are young enough.
-func (g *Governor) measure(s *server) {
-	s.tries, s.failed, s.busy, s.latency = 0, 0, -1, 0
-	good, latency, busy, busySpan := 0.0, 0.0, 0.0, 0.0
-	oldest := g.now
+// figures works out what the samples since a time say. Rates go by the span that each report states: reports
+// are rationed and late, so their times of arrival tell little.
+func (s *server) figures(since fleet.Time, zones int) figures {
+	f := figures{busy: -1}
+	latency, busy, told := 0.0, 0.0, 0.0
+	byZone := make([]sample, zones)
 	for _, m := range s.samples {
-		if m.at < g.now-look {
+		if m.at < since || int(m.zone) >= zones {
 			continue
 		}
-		oldest = min(oldest, m.at-m.span)
-		s.tries += m.tries
-		s.failed += m.tries - m.good
-		good += m.good
+		byZone[m.zone].span += m.span
+		byZone[m.zone].tries += m.good
+		f.tries, f.good, f.failed = f.tries+m.tries, f.good+m.good, f.failed+m.tries-m.good
 		latency += m.good * m.latency.Seconds()
 		if m.busy >= 0 {
-			busy += m.busy * m.span.Seconds()
-			busySpan += m.span.Seconds()
+			busy, told = busy+m.busy, told+1
 		}
 	}
-	if good >= enough {
-		s.latency = fleet.Second.Scale(latency / good)
-		if s.quiet == 0 || s.latency < s.quiet {
-			s.quiet = s.latency
+	for z := range byZone {
+		if byZone[z].span > 0 {
+			f.handled += rate(byZone[z : z+1])
 		}
 	}
-	if busySpan > 0 {
-		s.busy = max(0.02, busy/busySpan)
-		if good >= enough {
-			s.capacity = good / (g.now - oldest).Seconds() / s.busy
-		}
+	if told > 0 {
+		f.busy = max(busyLeast, busy/told)
 	}
-	s.rate = g.load(s)
-}
-
-// load gives the visits a second that our proxies send to a server by the tables that are out.
-func (g *Governor) load(s *server) float64 {
-	sum := 0.0
-	for t := range g.tables {
-		if total := g.total(t); total > 0 && !s.withdrawn {
-			sum += g.tables[t].demand * min(1, g.tables[t].level) * s.out[t] / total
+	if f.good >= enough {
+		f.latency = fleet.Second.Scale(latency / f.good)
+		if told > 0 {
+			f.capacity = f.handled / f.busy
 		}
 	}
-	return sum
+	return f
 }
 
-// total gives the sum of a table's lines that are out and not withdrawn.
-func (g *Governor) total(t int) float64 {
-	sum := 0.0
-	for _, s := range g.order {
-		if !s.withdrawn {
-			sum += s.out[t]
-		}
-	}
-	return sum
-}
+// late is the design's: past a factor of the best quiet latency.
+func (s *server) late() bool { return s.quiet > 0 && s.long.latency > s.quiet.Scale(lateFactor) }
 
-// target gives the busy share that the agreed densities are made for.
-func (g *Governor) target() float64 {
-	load, capacity := 0.0, 0.0
-	for _, s := range g.order {
-		if s.State == fleet.Ready && s.capacity > 0 {
-			load, capacity = load+s.rate, capacity+s.capacity
+// judge sets what health leaves each server of its weight. Where the whole fleet fails or is late none is to blame.
+func (g *Governor) judge() {
+	ready, zeroed, late, tries, failed := 0.0, 0.0, 0.0, 0.0, 0.0
+	for _, s := range g.servers {
+		if s.State != fleet.Ready {
+			continue
+		}
+		ready++
+		tries, failed = tries+s.long.tries, failed+s.long.failed
+		if s.held == 0 {
+			zeroed++
+		}
+		if s.late() {
+			late++
 		}
 	}
-	if capacity == 0 {
-		return busyMost
+	// Reports take turns: only a server passed over several times, while others were heard, is silent.
+	lines := float64(len(g.servers)*len(g.site.Zones)) + g.joined*float64(len(g.classes))
+	missed := missedTurns * max(g.site.ReportEvery, fleet.Second.Scale(lines/max(1, g.site.ReportsPerS)))
+	for _, s := range g.servers {
+		if s.State != fleet.Ready {
+			continue
+		}
+		unheard := g.newest - s.lastGood
+		silent := unheard > missed && s.rate*unheard.Seconds() > hangTries
+		sick := s.long.failed >= failLeast && s.long.failed > s.long.tries*max(failShare, 2*failed/max(1, tries))
+		switch {
+		case s.held > 0 && s.long.busy < busySick && (silent || sick):
+			s.hold = min(longestHold, max(interval, 2*s.hold))
+			s.held, s.zeroUntil = quarter, g.now+s.hold
+			if zeroed+1 <= ready*zeroedMost {
+				s.held, zeroed = 0, zeroed+1
+			}
+			g.log("server %d cut off for %.0f s: silent %v, %.0f of %.0f tries failed",
+				s.Server, s.hold.Seconds(), silent, s.long.failed, s.long.tries)
+			s.samples = s.samples[:0]
+		case s.held == 0 && g.now >= s.zeroUntil:
+			s.held, s.lastGood = quarter, g.now+settle
+		case s.held == 0:
+		case s.late() && 2*late <= ready:
+			if !s.halved && s.rate < s.capacity*g.target {
+				s.held, s.halved = max(quarter, s.held/2), true
+				g.log("server %d late: %.0f ms, best %.0f ms", s.Server, 1e3*s.long.latency.Seconds(), 1e3*s.quiet.Seconds())
+			}
+		default:
+			s.held, s.halved = min(1, s.held+giveBack), false
+			if s.held == 1 {
+				s.hold = 0
+			}
+		}
 	}
-	return min(busyMost, slack*load/capacity)
 }
 
-// balance is the design's ordinary path: cut by saturation overload, spread the cut evenly, normalise.
+// balance is the design's ordinary path: cut by saturation overload, spread the cut evenly, normalise. As reports
+// give one latency a server, all its classes have the same relative density and saturation.
 func (g *Governor) balance() {
-	target := g.target()
-	if target < noise {
+	if g.meanCapacity == 0 {
 		return
 	}
-	type state struct{ agreed, density, residence float64 }
-	states := make([]state, len(g.order))
-	mean, n := 0.0, 0.0
-	for _, s := range g.order {
-		if s.State == fleet.Ready && s.capacity > 0 {
-			mean, n = mean+s.capacity, n+1
+	density, agreed := make([]float64, len(g.servers)), make([]float64, len(g.servers))
+	stay := func(s *server) float64 { return 1 + s.long.latency.Seconds()/interval.Seconds() }
+	for i, s := range g.servers {
+		if s.State == fleet.Ready && s.held > 0 {
+			density[i], agreed[i] = s.rate*stay(s), cmp.Or(s.capacity, g.meanCapacity)*g.target*stay(s)
 		}
 	}
-	if n == 0 {
-		return
-	}
-	mean /= n
-	for i, s := range g.order {
-		if s.State != fleet.Ready || s.held == 0 {
-			continue
-		}
-		c := s.capacity
-		if c == 0 {
-			c = mean
-		}
-		stay := 1 + s.latency.Seconds()/interval.Seconds()
-		states[i] = state{c * target * stay, s.rate * stay, s.rate * interval.Seconds() * stay}
-	}
 	for t := range g.tables {
 		b := &g.tables[t]
-		total := g.total(t)
-		if total == 0 || b.demand < noise {
+		if b.total == 0 || b.demand < none {
 			continue
 		}
-		cut := 0.0
-		for i, s := range g.order {
-			x := states[i]
-			if !g.serves(s, t) || x.agreed == 0 || x.density <= x.agreed {
-				continue
-			}
-			begun := b.demand * b.level * s.out[t] / total * interval.Seconds()
-			if begun < noise {
-				continue
+		begun := func(s *server) float64 { return b.demand * b.level * s.out[t] / b.total * interval.Seconds() }
+		cut, most := 0.0, none
+		for i, s := range g.servers {
+			if tries := begun(s); g.open(s, t) && density[i] > agreed[i] && tries > none {
+				delta := min(tries, (density[i]-agreed[i])/density[i]*tries*stay(s))
+				s.weight[t] *= 1 - delta/tries
+				cut += delta
 			}
-			over := (x.density - x.agreed) / x.density
-			delta := min(begun*(1-quarter), over*begun*x.residence/(s.rate*interval.Seconds()))
-			s.weight[t] *= 1 - delta/begun
-			cut += delta
-		}
-		for range 3 {
-			var open []int
-			for i, s := range g.order {
-				if g.serves(s, t) && states[i].density < states[i].agreed*0.999 {
-					open = append(open, i)
+		}
+		for range 3 { // receivers fill up, so what is left is spread again
+			part := 0.0
+			for i, s := range g.servers {
+				if g.open(s, t) && density[i] < agreed[i] {
+					part++
 				}
 			}
-			if len(open) == 0 || cut < noise {
-				break
-			}
-			part := cut / float64(len(open))
-			for _, i := range open {
-				s, x := g.order[i], &states[i]
-				stay := 1 + s.latency.Seconds()/interval.Seconds()
-				share := min(part, (x.agreed-x.density)*interval.Seconds()/stay)
-				begun := b.demand * b.level * s.out[t] / total * interval.Seconds()
-				s.weight[t] *= 1 + share/(begun+1)
-				x.density += share * stay / interval.Seconds()
-				cut -= share
+			part = cut / max(1, part)
+			for i, s := range g.servers {
+				if g.open(s, t) && density[i] < agreed[i] && part > none {
+					share := min(part, (agreed[i]-density[i])/stay(s)*interval.Seconds())
+					s.weight[t] *= 1 + share/(begun(s)+1)
+					density[i] += share * stay(s) / interval.Seconds()
+					cut -= share
+				}
 			}
 		}
-		most := 0.0
-		for _, s := range g.order {
-			if g.serves(s, t) {
+		for _, s := range g.servers {
+			if g.open(s, t) {
 				most = max(most, s.weight[t])
 			}
 		}
-		for _, s := range g.order {
-			s.weight[t] = max(0.01, s.weight[t]/most)
+		for _, s := range g.servers {
+			s.weight[t] = max(leastWeight, s.weight[t]/most)
 		}
 	}
 }
 
-// wish works out what should be out.
-func (g *Governor) wish() {
-	for t := range g.tables {
-		sum := 0.0
-		for _, s := range g.order {
-			s.want[t] = 0
-			if g.serves(s, t) {
-				s.want[t] = s.weight[t] * s.held
+// adopt lays first tables after a restart that send what proxies were seen to send by their former ones.
+func (g *Governor) adopt() {
+	g.taking = false
+	most := 0.0
+	for _, s := range g.servers {
+		most = max(most, s.long.tries)
+	}
+	for _, s := range g.servers {
+		for t := range g.tables {
+			if most > 0 {
+				s.weight[t] = max(leastWeight, s.long.tries/most)
 			}
-			sum += s.want[t]
 		}
-		if sum == 0 {
-			// Nobody goes bare: with none left that may serve at weight, take all that are listed as ready.
-			for _, s := range g.order {
-				if g.serves(s, t) {
-					s.want[t] = s.weight[t] * quarter
-				}
+		if s.held = 1; s.long.good == 0 || g.cold(s) {
+			s.held = quarter
+		}
+	}
+}
+
+// admit lets in what the fleet can handle on time, cutting visits of least value first. Beyond that further
+// tries feed the overload, so they are off while the fleet is strained.
+func (g *Governor) admit() {
+	capacity, demand := 0.0, 0.0
+	for _, s := range g.servers {
+		if s.State == fleet.Ready && s.held > 0 {
+			capacity += min(1, s.held+quarter) * cmp.Or(s.short.capacity, s.capacity, g.meanCapacity)
+		}
+	}
+	byValue := make([]int, len(g.classes))
+	class := make([]float64, len(g.classes))
+	for _, b := range g.tables {
+		class[b.class] += b.demand
+		demand += b.demand
+	}
+	if capacity == 0 || demand < none {
+		return
+	}
+	over := demand - busyMost*capacity
+	g.strained = over > 0
+	for c := range byValue {
+		byValue[c] = c
+	}
+	slices.SortStableFunc(byValue, func(a, b int) int { return cmp.Compare(g.classes[a].value, g.classes[b].value) })
+	for _, c := range byValue {
+		cut := max(0, min(over, class[c]*(1-levelFloor)))
+		over -= cut
+		for t := range g.tables {
+			b := &g.tables[t]
+			if int(b.class) != c {
+				continue
+			}
+			b.retry = fleet.RetryIfNeverRan
+			if g.strained {
+				b.retry = fleet.RetryNever
+			}
+			if g.site.Admission != fleet.AdmitAll {
+				b.level = min(1-cut/max(class[c], none), b.level+easeBack)
+				b.amount = g.amount(b)
 			}
 		}
-		g.tables[t].sum = max(sum, noise)
 	}
-	g.guardCold()
 }
 
-// guardCold keeps a cold server's share below what it surely can do, over all tables.
-func (g *Governor) guardCold() {
-	mean, n := 0.0, 0.0
-	for _, s := range g.order {
-		if s.capacity > 0 && s.State == fleet.Ready && !g.cold(s) {
-			mean, n = mean+s.capacity, n+1
+// amount gives a table's level in the site's unit: a share, or the rate at each proxy that lets in as much.
+func (g *Governor) amount(b *table) float64 {
+	if b.level >= 1 {
+		return rateOfAll
+	}
+	if g.site.Admission == fleet.AdmitShare {
+		return b.level
+	}
+	var rates []float64
+	for _, p := range g.proxies {
+		if p != nil && (!b.local || p.zone == b.zone) {
+			rates = append(rates, rate(p.usage[b.class]))
+		}
+	}
+	slices.Sort(rates)
+	left := b.level * b.demand
+	for i, r := range rates {
+		if each := left / float64(len(rates)-i); r >= each {
+			return each
 		}
+		left -= r
 	}
-	for _, s := range g.order {
-		if s.State != fleet.Ready || !g.cold(s) || n == 0 {
+	return rateOfAll
+}
+
+// wish works out the lines that should be out.
+func (g *Governor) wish() {
+	for t := range g.tables {
+		b := &g.tables[t]
+		b.wantedTotal = 0
+		for _, s := range g.servers {
+			if s.want[t] = 0; g.open(s, t) {
+				s.want[t] = s.weight[t] * s.held
+			}
+			b.wantedTotal += s.want[t]
+		}
+		if b.wantedTotal > 0 {
 			continue
 		}
-		age := (g.now - s.Started).Seconds() / g.site.ColdFor.Seconds()
-		can := g.site.ColdFrom + (1-g.site.ColdFrom)*max(0, age)
+		for _, s := range g.servers { // nobody goes bare: if all are suspect, all that are ready share it
+			if g.open(s, t) {
+				s.want[t] = s.weight[t] * quarter
+				b.wantedTotal += s.want[t]
+			}
+		}
+	}
+	// A cold server gets less than it surely can do, over all tables, also when its neighbours have just died.
+	for _, s := range g.servers {
+		if s.State != fleet.Ready || !g.cold(s) || g.meanCapacity == 0 {
+			continue
+		}
+		grown := (g.now - s.Started).Seconds() / g.site.ColdFor.Seconds()
+		limit := coldSafe * (g.site.ColdFrom + (1-g.site.ColdFrom)*max(0, grown)) * g.meanCapacity
 		load := 0.0
-		for t := range g.tables {
-			load += g.tables[t].demand * s.want[t] / g.tables[t].sum
+		for t, b := range g.tables {
+			load += g.perVisit * b.demand * s.want[t] / max(b.wantedTotal, none)
 		}
-		if limit := coldSafe * can * mean / n; load > limit {
-			for t := range g.tables {
-				s.want[t] *= limit / load
-			}
+		for t := range g.tables {
+			s.want[t] *= min(1, limit/max(load, none))
 		}
 	}
 }
 
-// reconcile works out the difference between what is wanted and what is out, and emits it, urgent first.
+// reconcile works out the difference between what is wanted and what is out and emits it, urgent first.
 func (g *Governor) reconcile() {
+	g.waiting = max(0, g.waiting-(g.now-g.waitingAt).Seconds()*g.site.LinesPerS*pace)
+	g.waitingAt, g.wrote, g.joined = g.now, false, 0
+	for _, p := range g.proxies {
+		if p != nil {
+			g.joined++
+		}
+	}
 	if g.alarmAt <= g.now {
 		g.alarmAt = g.now + heartbeat
 		g.orders = append(g.orders, fleet.SetAlarm{After: heartbeat})
@@ -616,123 +678,87 @@
 		g.askAt = 0
 		g.orders = append(g.orders, fleet.Watch{On: true})
 	}
-	if g.due && g.site.Probes && g.site.Report == fleet.ReportOnProbe {
-		for _, s := range g.order {
-			if s.State == fleet.Ready {
-				g.orders = append(g.orders, fleet.Probe{Server: s.Server})
-			}
+	for _, s := range g.servers {
+		if g.due && g.site.Probes && g.site.Report == fleet.ReportOnProbe && s.State == fleet.Ready {
+			g.orders = append(g.orders, fleet.Probe{Server: s.Server})
+		}
+		if out := s.State != fleet.Ready; out != s.withdrawn {
+			s.withdrawn = out
+			g.toAll(fleet.Withdraw{Server: s.Server, Out: out})
 		}
 	}
-	g.waiting = max(0, g.waiting-(g.now-g.drained).Seconds()*g.site.LinesPerS*pace)
-	g.drained = g.now
 	if g.site.Slices > 0 {
-		g.withdraw()
 		return
 	}
-	all := g.withdraw()
-	// Weights go out once an interval; a withdrawal takes its replacement along, a cold server is lowered at once.
-	changes := g.changes(g.due || all)
-	if len(changes) > 0 {
-		lines := float64(len(changes)) * float64(len(g.joined))
-		urgent := all || !g.due
-		if urgent || g.room(lines, roomWeights) && g.mayWrite(spareWrites) {
-			for _, c := range changes {
-				c.server.out[c.table] = c.server.want[c.table]
-				g.orders = append(g.orders, fleet.Share{
-					Table: fleet.TableID(c.table), Server: c.server.Server, Weight: float32(c.server.want[c.table]),
-				})
-			}
-			g.waiting += lines
-			g.write(&all)
+	// Lines change once an interval; a withdrawal takes its replacement along, a cold server is lowered at once.
+	lines := g.changes(g.due || g.wrote)
+	cost := g.waiting + (float64(len(lines))+g.site.MessageHead)*g.joined
+	if g.wrote || !g.due || cost <= roomWeights*g.site.BacklogMost && g.mayWrite() {
+		for _, l := range lines {
+			l.server.out[l.table] = l.server.want[l.table]
+			g.toAll(fleet.Share{
+				Table: fleet.TableID(l.table), Server: l.server.Server, Weight: float32(l.server.out[l.table]),
+			})
 		}
 	}
 	for t := range g.tables {
-		b := &g.tables[t]
-		if b.level == b.levelOut && b.retry == b.retryOut {
-			continue
+		if b := &g.tables[t]; math.Abs(b.amount-b.amountOut) > leastChange*b.amountOut || b.retry != b.retryOut {
+			b.amountOut, b.retryOut = b.amount, b.retry
+			g.toAll(fleet.Level{Table: fleet.TableID(t), Amount: float32(b.amount), Retry: b.retry})
 		}
-		amount := float32(b.level)
-		if g.site.Admission == fleet.AdmitRate {
-			amount = rateOfAll
-		}
-		b.levelOut, b.retryOut = b.level, b.retry
-		g.orders = append(g.orders, fleet.Level{Table: fleet.TableID(t), Amount: amount, Retry: b.retry})
-		g.waiting += float64(len(g.joined))
-		g.write(&all)
 	}
 	g.join()
 }
 
-// change is one line of a table that differs from what is out.
-type change struct {
+// line is one line of a table.
+type line struct {
 	server *server
 	table  int
 }
 
-// changes gives the lines to send: all that differ enough, or only those that cannot wait.
-func (g *Governor) changes(ordinary bool) []change {
-	var list []change
+// changes gives the lines to send: all that differ enough, or only those that can't wait.
+func (g *Governor) changes(ordinary bool) []line {
+	var list []line
 	for t := range g.tables {
-		bare := g.total(t) == 0
-		for _, s := range g.order {
+		bare := true
+		for _, s := range g.servers {
+			bare = bare && (s.withdrawn || s.out[t] == 0)
+		}
+		for _, s := range g.servers {
 			w, o := s.want[t], s.out[t]
-			if w == o {
-				continue
-			}
-			rises := w > 0 && (o == 0 || math.Abs(w-o) > leastChange*o)
-			if ordinary && (rises || w == 0) || bare && w > 0 || g.cold(s) && s.State == fleet.Ready && o > 1.25*w {
-				list = append(list, change{s, t})
+			differs := w != o && (w == 0 || math.Abs(w-o) > leastChange*o)
+			if differs && (ordinary || bare || g.cold(s) && o > tooMuch*w) {
+				list = append(list, line{s, t})
 			}
 		}
 	}
 	return list
 }
 
-// withdraw shuts draining and gone servers out at once and lets returned ones in; it tells whether it did.
-func (g *Governor) withdraw() bool {
-	did := false
-	for _, s := range g.order {
-		out := s.State != fleet.Ready
-		if out == s.withdrawn {
-			continue
-		}
-		s.withdrawn = out
-		g.orders = append(g.orders, fleet.Withdraw{Server: s.Server, Out: out})
-		g.waiting += float64(len(g.joined))
-		g.write(&did)
-	}
-	return did
-}
-
-// room tells whether so many lines fit below a part of the channel's backlog.
-func (g *Governor) room(lines, part float64) bool {
-	return g.waiting+lines+g.site.MessageHead*float64(len(g.joined)) <= part*g.site.BacklogMost
-}
-
-// write counts one message to every joined proxy, once a reply.
-func (g *Governor) write(did *bool) {
-	if *did {
+// toAll gives an order that costs a line at every joined proxy.
+func (g *Governor) toAll(order fleet.Order) {
+	g.orders = append(g.orders, order)
+	g.waiting += g.joined
+	if g.wrote {
 		return
 	}
-	*did = true
-	g.waiting += g.site.MessageHead * float64(len(g.joined))
-	for _, id := range g.joined {
-		p := g.proxies[id]
-		p.written = append(p.written, g.now)
+	g.wrote = true
+	g.waiting += g.site.MessageHead * g.joined
+	for _, p := range g.proxies {
+		if p != nil {
+			p.written = append(p.written, g.now)
+		}
 	}
 }
 
-// mayWrite tells whether every proxy may be sent a message, with some kept back.
-func (g *Governor) mayWrite(spare int) bool {
-	if g.site.MessagesMost == 0 {
-		return true
-	}
-	for _, id := range g.joined {
-		p := g.proxies[id]
-		for len(p.written) > 0 && p.written[0] <= g.now-g.site.MessagesOver {
-			p.written = p.written[1:]
+// mayWrite tells whether every proxy may be sent a message, with some kept back for urgent ones.
+func (g *Governor) mayWrite() bool {
+	for _, p := range g.proxies {
+		if p == nil || g.site.MessagesMost == 0 {
+			continue
 		}
-		if len(p.written) >= max(1, g.site.MessagesMost-spare) {
+		p.written = slices.DeleteFunc(p.written, func(at fleet.Time) bool { return at <= g.now-g.site.MessagesOver })
+		if len(p.written) >= max(1, g.site.MessagesMost-spareWrites) {
 			return false
 		}
 	}
@@ -741,15 +767,14 @@
 
 // join puts proxies on their tables, as many as the channel has room for.
 func (g *Governor) join() {
-	for _, id := range g.joined {
-		p := g.proxies[id]
-		if p.bound || !p.fresh && g.now < g.started+takeOver {
+	for id, p := range g.proxies {
+		if p == nil || p.bound || g.taking && !p.fresh {
 			continue
 		}
 		lines := g.site.MessageHead
 		for t := range g.tables {
 			lines += 2
-			for _, s := range g.order {
+			for _, s := range g.servers {
 				if s.out[t] > 0 || s.withdrawn {
 					lines++
 				}
@@ -759,11 +784,12 @@
 			return
 		}
 		g.waiting += lines
-		p.bound = true
-		p.written = append(p.written, g.now)
-		for t := range g.tables {
-			if b := &g.tables[t]; !b.local || b.zone == p.zone {
-				g.orders = append(g.orders, fleet.Bind{Proxy: id, Table: fleet.TableID(t), Classes: 1 << b.class})
+		p.bound, p.written = true, append(p.written, g.now)
+		for t, b := range g.tables {
+			if !b.local || b.zone == p.zone {
+				g.orders = append(g.orders, fleet.Bind{
+					Proxy: fleet.ProxyID(id), Table: fleet.TableID(t), Classes: 1 << b.class,
+				})
 			}
 		}
 	}
