Send withdrawals again to proxies that wait for their tables

Cause: a restarted governor withdraws the server, then a proxy joins with a former table and is left on it while the governor watches; a Withdraw reaches only proxies that are joined when it is ordered, and only a Bind carries it later. Change: a proxy that must wait for its table has all withdrawals ordered again once.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -57,10 +57,10 @@
 	none        = 1e-9              // a rate or weight below this is none
 )
 
-// visitClass is what differs by class.
+// visitClass is what differs by class, in rows from the least value up.
 type visitClass struct {
+	id    fleet.ClassID
 	value float64
-	local bool // stays in the proxy's zone
 }
 
 // table is one shared table: of a class, and of one zone where the class stays local.
@@ -113,6 +113,7 @@
 	zone    fleet.ZoneID
 	fresh   bool // holds standing tables only
 	bound   bool
+	waits   bool       // for its table, and has not heard of earlier withdrawals
 	usage   [][]sample // by class
 	written []fleet.Time
 }
@@ -160,7 +161,7 @@
 		busyAt: slices.Index(site.LoadFields, fleet.FieldBusy), target: busyMost, started: -1,
 	}
 	for i, c := range site.Classes {
-		g.classes = append(g.classes, visitClass{c.Value, c.StaysLocal})
+		g.classes = append(g.classes, visitClass{fleet.ClassID(i), c.Value})
 		for z := range site.Zones {
 			if z == 0 || c.StaysLocal {
 				g.tables = append(g.tables, table{
@@ -170,6 +171,7 @@
 			}
 		}
 	}
+	slices.SortStableFunc(g.classes, func(a, b visitClass) int { return cmp.Compare(a.value, b.value) })
 	return g
 }
 
@@ -214,7 +216,7 @@
 		for int(e.Proxy) >= len(g.proxies) {
 			g.proxies = append(g.proxies, nil)
 		}
-		g.proxies[e.Proxy] = &proxy{zone: e.Zone, fresh: e.Fresh, usage: make([][]sample, len(g.classes))}
+		g.proxies[e.Proxy] = &proxy{zone: e.Zone, fresh: e.Fresh, waits: true, usage: make([][]sample, len(g.classes))}
 		g.taking = g.taking || !e.Fresh && g.now < g.started+takeOver
 	case fleet.Left:
 		if int(e.Proxy) < len(g.proxies) {
@@ -563,7 +565,6 @@
 			capacity += min(1, s.held+quarter) * cmp.Or(s.short.capacity, s.capacity, g.meanCapacity)
 		}
 	}
-	byValue := make([]int, len(g.classes))
 	class := make([]float64, len(g.classes))
 	for _, b := range g.tables {
 		class[b.class] += b.demand
@@ -574,16 +575,12 @@
 	}
 	over := demand - busyMost*capacity
 	g.strained = over > 0
-	for c := range byValue {
-		byValue[c] = c
-	}
-	slices.SortStableFunc(byValue, func(a, b int) int { return cmp.Compare(g.classes[a].value, g.classes[b].value) })
-	for _, c := range byValue {
-		cut := max(0, min(over, class[c]*(1-levelFloor)))
+	for _, c := range g.classes {
+		cut := max(0, min(over, class[c.id]*(1-levelFloor)))
 		over -= cut
 		for t := range g.tables {
 			b := &g.tables[t]
-			if int(b.class) != c {
+			if b.class != c.id {
 				continue
 			}
 			b.retry = fleet.RetryIfNeverRan
@@ -591,7 +588,7 @@
 				b.retry = fleet.RetryNever
 			}
 			if g.site.Admission != fleet.AdmitAll {
-				b.level = min(1-cut/max(class[c], none), b.level+easeBack)
+				b.level = min(1-cut/max(class[c.id], none), b.level+easeBack)
 				b.amount = g.amount(b)
 			}
 		}
@@ -710,8 +707,7 @@
 	g.join()
 }
 
-// line is one line of a table.
-type line struct {
+type line struct { // of a table
 	server *server
 	table  int
 }
@@ -765,10 +761,12 @@
 	return true
 }
 
-// join puts proxies on their tables, as many as the channel has room for.
+// join puts proxies on their tables, as many as the channel has room for. One that must wait for its table has
+// not heard of earlier withdrawals, so they go out again.
 func (g *Governor) join() {
+	again := false
 	for id, p := range g.proxies {
-		if p == nil || p.bound || g.taking && !p.fresh {
+		if p == nil || p.bound {
 			continue
 		}
 		lines := g.site.MessageHead
@@ -780,11 +778,12 @@
 				}
 			}
 		}
-		if g.waiting+lines > roomJoins*g.site.BacklogMost {
-			return
+		if g.taking && !p.fresh || g.waiting+lines > roomJoins*g.site.BacklogMost {
+			again, p.waits = again || p.waits, false
+			continue
 		}
 		g.waiting += lines
-		p.bound, p.written = true, append(p.written, g.now)
+		p.bound, p.waits, p.written = true, false, append(p.written, g.now)
 		for t, b := range g.tables {
 			if !b.local || b.zone == p.zone {
 				g.orders = append(g.orders, fleet.Bind{
@@ -793,4 +792,9 @@
 			}
 		}
 	}
+	for _, s := range g.servers {
+		if again && s.withdrawn {
+			g.toAll(fleet.Withdraw{Server: s.Server, Out: true})
+		}
+	}
 }
