--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,196 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/hex"
+	"errors"
+	"io"
+	"reflect"
+	"strings"
+	"testing"
+
+	"cressknot/fleet"
+)
+
+func unhex(t testing.TB, text string) []byte {
+	t.Helper()
+	b, err := hex.DecodeString(strings.Join(strings.Fields(text), ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// frame puts records behind a batch header at clock 246145 ms.
+func frame(records ...[]byte) []byte {
+	body := bytes.Join(records, nil)
+	size, n := headerBytes+len(body), len(records)
+	head := []byte{byte(size), byte(size >> 8), byte(size >> 16), 0, 0, 0, 0, 0, 0x20, 0x6e, 0xc0, 0x40, byte(n), 0, 0, 0}
+	return append(head, body...)
+}
+
+// The byte examples are those of the wire's page.
+var events = []struct {
+	bytes string
+	what  any
+}{
+	{"0101 02000000 0300", Stop{}},
+	{"0201 06000000 0300 4d000000", fleet.Alarm{ID: 77}},
+	{"0001 1d000000 0300 f211902c 0000 666666666666f63f 03 52b81e3f0000e04000006841",
+		fleet.Probed{Server: 0x2c9011f2, Took: 1_400_000, Load: []float32{0.62, 7, 14.5}}},
+	{"0601 0a000000 0300 0200 0400 68692037", fleet.Message{From: 2, Data: []byte("hi 7")}},
+	{"0901 0a000000 0300 0000d040 00 2900 01", fleet.Joined{Proxy: 41, Weight: 6.5, Fresh: true}},
+	{"0501 04000000 0300 2900", fleet.Left{Proxy: 41}},
+	{"0b01 2c000000 0300 074a1203 01000000 0e000000 0000000000204840 0000000000408f40 00 03 52b81e3f0000e04000006841",
+		fleet.Heard{Server: 0x03124a07, Failed: 1, Tries: 14, Latency: 48_250_000, Span: fleet.Second,
+			Load: []float32{0.62, 7, 14.5}}},
+	{"0e01 15000000 0300 2900 00 09000000 00000000 0000000000409f40",
+		fleet.Usage{Proxy: 41, Visits: 9, Span: 2 * fleet.Second}},
+	{"0d01 15000000 0300 7500 00 17000000 02000000 0000000000408f40",
+		fleet.SliceUsage{Slice: 117, Visits: 23, NoAnswer: 2, Span: fleet.Second}},
+	{"0801 05000000 0300 7500 01", fleet.Charge{Slice: 117, Given: true}},
+	{"0401 0c000000 0300 7500 f211902c 0000803f", fleet.StoredLine{Slice: 117, Server: 0x2c9011f2, Weight: 1}},
+	{"0701 14000000 0300 0000000000c87940 2900 0c00000000000000",
+		fleet.Applied{Proxy: 41, Mark: 12, Took: 412_500_000}},
+}
+
+func TestEventsOfThePage(t *testing.T) {
+	for _, e := range events {
+		batch, err := NewReader(bytes.NewReader(frame(unhex(t, e.bytes)))).Next()
+		if err != nil {
+			t.Errorf("%T: %v", e.what, err)
+		} else if got := batch.Items[0]; got.Governor != 3 || !reflect.DeepEqual(got.What, e.what) {
+			t.Errorf("got %+v, want %+v", got, e.what)
+		}
+	}
+}
+
+const (
+	pageOfTwo = `0c01 30000000 0000 02000000
+		00 0000 0000000000000000 00 00 074a1203 0000803f 00 0000 0000000000d4b740 01 00 f211902c 0000c03f`
+	pageOfOne = "0c01 1b000000 0000 01000000 01 0000 0000000000000000 00 00 074a1203 0000803f"
+	syncPage0 = "0a01 0d000000 0300 00 0000 2900000000000000"
+)
+
+func TestListNumbersAreReusedWithinABatch(t *testing.T) {
+	in := append(frame(unhex(t, pageOfTwo), unhex(t, syncPage0), unhex(t, pageOfOne), unhex(t, syncPage0)), frame()...)
+	r := NewReader(bytes.NewReader(in))
+	batch, err := r.Next()
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, second := batch.Items[0].What.(fleet.List), batch.Items[1].What.(fleet.List)
+	if len(first.Entries) != 2 || first.Entries[1].Started != 6100*fleet.Millisecond || first.Rev != 41 {
+		t.Errorf("first list is %+v", first)
+	}
+	if len(second.Entries) != 1 || second.Entries[0].State != fleet.Draining {
+		t.Errorf("second list is %+v", second)
+	}
+	if batch, err = r.Next(); err != nil || len(batch.Items) != 0 {
+		t.Errorf("empty batch gives %+v, %v", batch, err)
+	}
+	if _, err = r.Next(); !errors.Is(err, io.EOF) {
+		t.Errorf("end of input gives %v", err)
+	}
+}
+
+func TestBadInputIsNamed(t *testing.T) {
+	short := frame(unhex(t, events[0].bytes))
+	counted := append([]byte(nil), short...)
+	counted[12] = 9
+	for want, in := range map[string][]byte{
+		"byte 0: frame length 3 ":         {3, 0, 0, 0},
+		"byte 0: frame length cut short":  {3, 0},
+		"byte 0: frame of 24 bytes ends":  short[:20],
+		"byte 16: record count 9":         counted,
+		"byte 16: event code 511":         frame(unhex(t, "ff01 02000000 0300")),
+		"byte 22: record of code 257":     frame(unhex(t, "0101 09000000 0300")),
+		"byte 24: record of code 257 has": frame(unhex(t, "0101 03000000 0300 00")),
+		"byte 27: list 0 was never":       frame(unhex(t, syncPage0)),
+		"byte 28: entries: count 9":       frame(unhex(t, "0c01 06000000 0000 09000000")),
+	} {
+		if _, err := NewReader(bytes.NewReader(in)).Next(); err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("got %v, want %q", err, want)
+		}
+	}
+}
+
+func FuzzReader(f *testing.F) {
+	for _, e := range events {
+		f.Add(frame(unhex(f, e.bytes)))
+	}
+	f.Add(frame(unhex(f, pageOfTwo), unhex(f, syncPage0)))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		r := NewReader(bytes.NewReader(in))
+		for err := error(nil); err == nil; {
+			_, err = r.Next()
+		}
+	})
+}
+
+func TestOrdersOfThePage(t *testing.T) {
+	for want, order := range map[string]fleet.Order{
+		"0001 0e000000 0300 0000000000407f40 4d000000": fleet.SetAlarm{After: 500 * fleet.Millisecond, ID: 77},
+		"0101 06000000 0300 f211902c":                  fleet.Probe{Server: 0x2c9011f2},
+		"0201 0c000000 0300 ffffffff 0400 68692037":    fleet.Tell{To: fleet.EveryPeer, Data: []byte("hi 7")},
+		"0501 03000000 0300 01":                        fleet.Watch{On: true},
+		"0601 02000000 0300":                           fleet.Fetch{},
+		"0701 0c000000 0300 7500 f211902c 0000403f":    fleet.Share{Table: 117, Server: 0x2c9011f2, Weight: 0.75},
+		"0801 04000000 0300 7500":                      fleet.Clear{Table: 117},
+		"0a01 08000000 0300 2900 7500 0000":            fleet.Bind{Proxy: 41, Table: 117},
+		"0901 07000000 0300 f211902c 01":               fleet.Withdraw{Server: 0x2c9011f2, Out: true},
+		"0b01 0b000000 0300 01 0000403f 0200 7500": fleet.Level{
+			Table: 117, Classes: 2, Amount: 0.75, Retry: fleet.RetryIfNeverRan},
+		"0c01 0b000000 0300 0c00000000000000 00":                     fleet.Mark{ID: 12},
+		"0301 15000000 0300 1100 74776f2073657276657273206b6e6f776e": fleet.Log{Text: "two servers known"},
+		"0301 04000000 0300 0000":                                    fleet.Log{},
+		"0301 0e000000 0300 0a00 0102030405060708090a":               fleet.Log{Text: "\x01\x02\x03\x04\x05\x06\x07\x08\t\n"},
+		"0701 0c000000 0300 0000 f211902c 00000000":                  fleet.Share{Server: 0x2c9011f2},
+		"0b01 0b000000 0300 03 0000803f 0000 ffff":                   fleet.Level{Table: fleet.EveryTable, Amount: 1, Retry: fleet.RetryTwice},
+		"0c01 0b000000 0300 ffff000000000000 01":                     fleet.Mark{ID: 65535, All: true},
+		"0201 09000000 0300 01000000 0100 78":                        fleet.Tell{To: 1, Data: []byte("x")},
+		"0501 03000000 0300 00":                                      fleet.Watch{},
+		"0001 0e000000 0300 000000000000d03f 00000000":               fleet.SetAlarm{After: fleet.Millisecond / 4},
+		"0901 07000000 0300 074a1203 00":                             fleet.Withdraw{Server: 0x03124a07},
+		"0a01 08000000 0300 0000 0200 0500":                          fleet.Bind{Table: 2, Classes: 5},
+		"0801 04000000 0300 0000":                                    fleet.Clear{},
+	} {
+		var w Writer
+		w.Begin()
+		if err := w.Order(3, order); err != nil {
+			t.Fatal(err)
+		}
+		if got, b := w.Frame(), unhex(t, want); !bytes.Equal(got[replyHead:], b) || got[0] != byte(len(got)) || got[4] != 1 {
+			t.Errorf("%T: got %x, want %x", order, got, b)
+		}
+	}
+}
+
+const settings = `{"discovery": "on_request", "unheardOf": [1], "weightSource": "live",
+	"dcs": ["a", "b"], "report": {"how": "inline", "fields": ["busy", "new"]},
+	"grades": [{"effect": "idempotency_key", "group": "zone", "targetMs": 1500, "deadlineMs": 5000, "worth": 3}],
+	"familyInfo": {"admission": "rps", "mostWaiting": 30000, "egressPerS": 15000, "envelope": 6,
+		"unservedMaxMs": 5800, "staysLocal": [true]},
+	"rules": {"coldFrom": 0.16, "coldMs": 18000, "drainGraceMs": 3500.5, "fallMs": 2000, "overloadFactor": 4}}`
+
+func TestSettings(t *testing.T) {
+	site, err := ParseSite([]byte(settings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := site.Classes[0]
+	if !site.ListOnRequest || site.ListWeight != fleet.WeightLive || site.Admission != fleet.AdmitRate ||
+		site.DrainGrace != 3500500*fleet.Millisecond/1000 || site.LoadFields[0] != fleet.FieldBusy ||
+		c.Effect != fleet.Keyed || c.Group != fleet.GroupZone || !c.StaysLocal || c.Expected != 1500*fleet.Millisecond {
+		t.Errorf("read %+v", site)
+	}
+	for _, key := range []string{"mostWaiting", "coldFrom", "drainGraceMs", "overloadFactor", "targetMs", "effect"} {
+		_, err := ParseSite([]byte(strings.Replace(settings, key, key+"X", 1)))
+		if err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("without %s: %v", key, err)
+		}
+	}
+	if _, err := ParseSite([]byte(`{"me": `)); err == nil {
+		t.Error("cut JSON is taken")
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -42,6 +42,7 @@
 	settle      = 2 * fleet.Second  // until reports can speak of a change: travel and report delay
 	takeOver    = 4 * fleet.Second  // a restarted governor watches two intervals before it lays its own tables
 	coldSafe    = 0.8               // part of what a cold server surely can do that it is sent
+	coldAlone   = 0.5               // part of the load that pushes it over that it may get where no other is open
 	leastWeight = 0.01              // of the largest: keeps a line that can grow again
 	leastChange = 0.03              // relative change of a line or level worth sending
 	tooMuch     = 1.25              // a cold server's line this far over its bound can't wait for the interval
@@ -187,11 +188,13 @@
 	for _, e := range events {
 		g.observe(e)
 	}
-	if g.due = now >= g.judged+interval; g.due {
+	// A proxy's former table may be down to withdrawn lines, so the watch ends well before that breaks a rule.
+	watched := g.taking && now >= g.started+min(takeOver, g.site.BareMost/2)
+	if g.due = now >= g.judged+interval || watched; g.due {
 		g.judged = now
 		g.measure()
 		g.admit()
-		if g.taking && now >= g.started+takeOver {
+		if watched {
 			g.adopt()
 		} else if !g.taking {
 			g.judge()
@@ -310,19 +313,8 @@
 		s.held = 1
 	}
 	for t := range g.tables {
-		sum, n := 0.0, 0.0
-		for _, o := range g.servers {
-			if o != s && o.State == fleet.Ready && o.weight[t] > 0 {
-				sum, n = sum+o.weight[t], n+1
-			}
-		}
-		switch {
-		case atStart && g.site.ListWeight != fleet.WeightNone && s.Weight > 0:
+		if s.weight[t] = 1; atStart && g.site.ListWeight != fleet.WeightNone && s.Weight > 0 {
 			s.weight[t] = s.Weight
-		case atStart || n == 0:
-			s.weight[t] = 1
-		default:
-			s.weight[t] = sum / n
 		}
 	}
 }
@@ -512,13 +504,13 @@
 		for range 3 { // receivers fill up, so what is left is spread again
 			part := 0.0
 			for i, s := range g.servers {
-				if g.open(s, t) && density[i] < agreed[i] {
+				if g.open(s, t) && s.held == 1 && density[i] < agreed[i] {
 					part++
 				}
 			}
 			part = cut / max(1, part)
 			for i, s := range g.servers {
-				if g.open(s, t) && density[i] < agreed[i] && part > none {
+				if g.open(s, t) && s.held == 1 && density[i] < agreed[i] && part > none {
 					share := min(part, (agreed[i]-density[i])/stay(s)*interval.Seconds())
 					s.weight[t] *= 1 + share/(begun(s)+1)
 					density[i] += share * stay(s) / interval.Seconds()
@@ -620,40 +612,49 @@
 	return rateOfAll
 }
 
-// wish works out the lines that should be out.
+// wish works out the lines that should be out. Nobody goes bare: where no warm server is left at weight, those
+// held at zero share the table. A cold server gets less than it surely can do, over all tables, also when its
+// neighbours have just died; alone in a table it gets nothing where its load could push it over.
 func (g *Governor) wish() {
+	warm := make([]float64, len(g.tables))
 	for t := range g.tables {
 		b := &g.tables[t]
-		b.wantedTotal = 0
 		for _, s := range g.servers {
 			if s.want[t] = 0; g.open(s, t) {
 				s.want[t] = s.weight[t] * s.held
 			}
-			b.wantedTotal += s.want[t]
-		}
-		if b.wantedTotal > 0 {
-			continue
+			if !g.cold(s) {
+				warm[t] += s.want[t]
+			}
 		}
-		for _, s := range g.servers { // nobody goes bare: if all are suspect, all that are ready share it
-			if g.open(s, t) {
+		suspect := warm[t] == 0
+		b.wantedTotal = 0
+		for _, s := range g.servers {
+			if suspect && g.open(s, t) && !g.cold(s) {
 				s.want[t] = s.weight[t] * quarter
-				b.wantedTotal += s.want[t]
+				warm[t] += s.want[t]
 			}
+			b.wantedTotal += s.want[t]
 		}
 	}
-	// A cold server gets less than it surely can do, over all tables, also when its neighbours have just died.
 	for _, s := range g.servers {
 		if s.State != fleet.Ready || !g.cold(s) || g.meanCapacity == 0 {
 			continue
 		}
-		grown := (g.now - s.Started).Seconds() / g.site.ColdFor.Seconds()
-		limit := coldSafe * (g.site.ColdFrom + (1-g.site.ColdFrom)*max(0, grown)) * g.meanCapacity
-		load := 0.0
+		grown := max(0, (g.now-s.Started).Seconds()/g.site.ColdFor.Seconds())
+		can, load := (g.site.ColdFrom+(1-g.site.ColdFrom)*grown)*g.meanCapacity, none
 		for t, b := range g.tables {
 			load += g.perVisit * b.demand * s.want[t] / max(b.wantedTotal, none)
 		}
 		for t := range g.tables {
-			s.want[t] *= min(1, limit/max(load, none))
+			b := &g.tables[t]
+			others, share := b.wantedTotal-s.want[t], s.want[t]/max(b.wantedTotal, none)*coldSafe*can/load
+			if warm[t] > 0 && share < 1 {
+				s.want[t] = min(s.want[t], share/(1-share)*others)
+			} else if load > can*g.site.FallFactor*coldAlone {
+				s.want[t] = 0
+			}
+			b.wantedTotal = others + s.want[t]
 		}
 	}
 }
@@ -692,10 +693,9 @@
 	cost := g.waiting + (float64(len(lines))+g.site.MessageHead)*g.joined
 	if g.wrote || !g.due || cost <= roomWeights*g.site.BacklogMost && g.mayWrite() {
 		for _, l := range lines {
-			l.server.out[l.table] = l.server.want[l.table]
-			g.toAll(fleet.Share{
-				Table: fleet.TableID(l.table), Server: l.server.Server, Weight: float32(l.server.out[l.table]),
-			})
+			s := g.server(l.Server)
+			s.out[l.Table] = s.want[l.Table]
+			g.toAll(l)
 		}
 	}
 	for t := range g.tables {
@@ -707,14 +707,8 @@
 	g.join()
 }
 
-type line struct { // of a table
-	server *server
-	table  int
-}
-
 // changes gives the lines to send: all that differ enough, or only those that can't wait.
-func (g *Governor) changes(ordinary bool) []line {
-	var list []line
+func (g *Governor) changes(ordinary bool) (lines []fleet.Share) {
 	for t := range g.tables {
 		bare := true
 		for _, s := range g.servers {
@@ -724,11 +718,11 @@
 			w, o := s.want[t], s.out[t]
 			differs := w != o && (w == 0 || math.Abs(w-o) > leastChange*o)
 			if differs && (ordinary || bare || g.cold(s) && o > tooMuch*w) {
-				list = append(list, line{s, t})
+				lines = append(lines, fleet.Share{Table: fleet.TableID(t), Server: s.Server, Weight: float32(w)})
 			}
 		}
 	}
-	return list
+	return lines
 }
 
 // toAll gives an order that costs a line at every joined proxy.
--- /dev/null
+++ b/logic/yard_test.go
@@ -0,0 +1,367 @@
+package logic
+
+import (
+	"fmt"
+	"math/rand"
+
+	"cressknot/fleet"
+)
+
+// yard keeps account of the tables that proxies hold by the orders given, and checks the five rules after every
+// step. It simulates no visits: reports say what the shares held would bring.
+type yard struct {
+	rng      *rand.Rand
+	site     fleet.Site
+	governor *Governor
+	now      fleet.Time
+	tables   map[fleet.TableID]map[fleet.ServerID]float64
+	servers  []*machine
+	holders  []*holder
+	lines    float64 // in the channel
+	orders   int
+	broken   string
+}
+
+type machine struct {
+	fleet.Entry
+	told fleet.Time // of its state
+	sick float64    // failed share
+	hung bool
+}
+
+type holder struct {
+	joined  bool
+	zone    fleet.ZoneID
+	since   fleet.Time
+	own     []map[fleet.ServerID]float64 // by class: standing or former table
+	on      []int                        // by class: the governor's table, or -1
+	out     map[fleet.ServerID]bool
+	bare    []fleet.Time // by class: since when, 0: not
+	written []fleet.Time
+	demand  float64 // visits a second of each class
+}
+
+const (
+	yardCapacity = 20.0               // visits a second of a warm server
+	never        = 1e6 * fleet.Second // later than any test runs
+)
+
+func testSite(rng *rand.Rand) fleet.Site {
+	ms := fleet.Millisecond
+	return fleet.Site{
+		Zones: []string{"a", "b"}, Governors: 1, LoadFields: []fleet.LoadField{fleet.FieldHeld, fleet.FieldBusy},
+		Report: fleet.ReportInline, ListOnRequest: rng.Intn(2) == 0, Admission: fleet.Admission(rng.Intn(3)),
+		Classes: []fleet.VisitClass{
+			{Effect: fleet.Safe, Value: 1, Expected: fleet.Second, HardStop: 4 * fleet.Second},
+			{Effect: fleet.Keyed, Group: fleet.GroupZone, Value: 5, Window: 1500 * ms, Expected: fleet.Second,
+				HardStop: 3 * fleet.Second, StaysLocal: true},
+			{Effect: fleet.Unsafe, Value: 3, Expected: 2 * fleet.Second, HardStop: 6 * fleet.Second},
+		},
+		PerTry: 1, ReportEvery: 500 * ms, ReportsPerS: 300, LinesPerS: 2500, MessageHead: 4, BacklogMost: 2500,
+		MessagesMost: 20, MessagesOver: 10 * fleet.Second, BareMost: 5 * fleet.Second, ColdFrom: 0.2,
+		ColdFor: 15 * fleet.Second, FallFactor: 3, FallFor: 1500 * ms, DrainGrace: 2 * fleet.Second,
+		AskWithin: 10 * fleet.Second, Travel: 200 * ms, ConnectTimeout: 250 * ms,
+	}
+}
+
+func newYard(seed int64, servers, proxies int) *yard {
+	y := &yard{rng: rand.New(rand.NewSource(seed)), now: 100 * fleet.Second}
+	y.site = testSite(y.rng)
+	for i := range servers {
+		e := fleet.Entry{Server: fleet.ServerID(y.rng.Uint32()), Zone: fleet.ZoneID(i % 2), Weight: 1}
+		y.servers = append(y.servers, &machine{Entry: e})
+	}
+	for i := range proxies {
+		y.holders = append(y.holders, &holder{zone: fleet.ZoneID(i % 2), demand: (1 + 2*y.rng.Float64()) *
+			yardCapacity * float64(servers) / float64(9*proxies)})
+	}
+	y.start(fleet.ListCached)
+	return y
+}
+
+// start lets a governor begin with the list as it is; proxies join at once.
+func (y *yard) start(scope fleet.ListScope) {
+	y.governor, y.tables, y.lines = New(y.site, y.rng.Uint64()), map[fleet.TableID]map[fleet.ServerID]float64{}, 0
+	events := []fleet.Event{y.list(scope)}
+	for id := range y.holders {
+		events = append(events, y.join(id))
+	}
+	y.step(events)
+}
+
+func (y *yard) list(scope fleet.ListScope) fleet.List {
+	l := fleet.List{Scope: scope}
+	for _, m := range y.servers {
+		if m.State != fleet.Gone {
+			l.Entries = append(l.Entries, m.Entry)
+			m.told = y.now
+		} else if scope == fleet.ListCached {
+			m.told = never // a new governor can't name what no list of its own held
+		}
+	}
+	return l
+}
+
+// join lets a proxy join, with what it holds or, the first time or after its own death, standing tables.
+func (y *yard) join(id int) fleet.Event {
+	h, classes := y.holders[id], len(y.site.Classes)
+	fresh := h.own == nil
+	if fresh {
+		h.out, h.own = map[fleet.ServerID]bool{}, make([]map[fleet.ServerID]float64, classes)
+		for c := range h.own {
+			h.own[c] = map[fleet.ServerID]float64{}
+			for _, m := range y.servers {
+				if m.Zone == h.zone && m.State == fleet.Ready {
+					h.own[c][m.Server] = 1
+				}
+			}
+		}
+	}
+	h.on, h.bare, h.written = []int{-1, -1, -1}, make([]fleet.Time, classes), nil
+	h.joined, h.since = true, y.now
+	return fleet.Joined{Proxy: fleet.ProxyID(id), Zone: h.zone, Fresh: fresh}
+}
+
+// leave breaks a stream; the proxy keeps a copy of what it holds, unless it died.
+func (y *yard) leave(id int, dead bool) fleet.Event {
+	h := y.holders[id]
+	for c := range h.own {
+		table := map[fleet.ServerID]float64{}
+		for s, w := range y.table(h, c) {
+			table[s] = w
+		}
+		h.own[c] = table
+	}
+	if h.joined = false; dead {
+		h.own = nil
+	}
+	return fleet.Left{Proxy: fleet.ProxyID(id)}
+}
+
+func (y *yard) table(h *holder, c int) map[fleet.ServerID]float64 {
+	if h.on[c] >= 0 {
+		return y.tables[fleet.TableID(h.on[c])]
+	}
+	return h.own[c]
+}
+
+// share gives the part of a proxy's class that goes to a server.
+func (y *yard) share(h *holder, c int, id fleet.ServerID) float64 {
+	sum := 0.0
+	for s, w := range y.table(h, c) {
+		if !h.out[s] {
+			sum += w
+		}
+	}
+	if sum == 0 || h.out[id] {
+		return 0
+	}
+	return y.table(h, c)[id] / sum
+}
+
+// load gives the visits a second that a server gets from joined proxies of a zone, or of all for -1.
+func (y *yard) load(id fleet.ServerID, zone int) float64 {
+	sum := 0.0
+	for _, h := range y.holders {
+		for c := range h.own {
+			if h.joined && (zone < 0 || int(h.zone) == zone) {
+				sum += h.demand * y.share(h, c, id)
+			}
+		}
+	}
+	return sum
+}
+
+func (y *yard) capacity(m *machine) float64 {
+	if m.Started == 0 {
+		return yardCapacity
+	}
+	grown := (y.now - m.Started).Seconds() / y.site.ColdFor.Seconds()
+	return yardCapacity * min(1, y.site.ColdFrom+(1-y.site.ColdFrom)*grown)
+}
+
+// reports gives what the last half second would have brought.
+func (y *yard) reports() (events []fleet.Event) {
+	span := y.site.ReportEvery
+	count := func(rate float64) uint32 { return uint32(rate*span.Seconds() + y.rng.Float64()) }
+	for _, m := range y.servers {
+		busy := float32(min(1, y.load(m.Server, -1)/y.capacity(m)))
+		for z := range y.site.Zones {
+			if tries := count(y.load(m.Server, z)); tries > 0 && !m.hung && m.State != fleet.Gone {
+				events = append(events, fleet.Heard{Server: m.Server, Tries: tries, Failed: uint32(float64(tries) * m.sick),
+					Latency: 200 * fleet.Millisecond, Span: span, Zone: fleet.ZoneID(z), Load: []float32{1, busy}})
+			}
+		}
+	}
+	for id, h := range y.holders {
+		for c := range y.site.Classes {
+			if h.joined {
+				events = append(events, fleet.Usage{Proxy: fleet.ProxyID(id), Class: fleet.ClassID(c),
+					Visits: count(h.demand), Span: span})
+			}
+		}
+	}
+	return events
+}
+
+func (y *yard) step(events []fleet.Event) []fleet.Order {
+	y.lines = max(0, y.lines-0.25*y.site.LinesPerS)
+	orders := y.governor.Step(y.now, events)
+	reached := map[*holder]float64{}
+	for _, o := range orders {
+		y.apply(o, reached)
+	}
+	for h, lines := range reached {
+		y.lines += lines + y.site.MessageHead
+		h.written = append(h.written, y.now)
+	}
+	y.orders = len(orders)
+	y.check()
+	return orders
+}
+
+func (y *yard) apply(order fleet.Order, reached map[*holder]float64) {
+	all := func(do func(*holder)) {
+		for _, h := range y.holders {
+			if h.joined {
+				reached[h]++
+				do(h)
+			}
+		}
+	}
+	switch o := order.(type) {
+	case fleet.Share:
+		if y.tables[o.Table] == nil {
+			y.tables[o.Table] = map[fleet.ServerID]float64{}
+		}
+		y.tables[o.Table][o.Server] = float64(o.Weight)
+		all(func(*holder) {})
+	case fleet.Withdraw:
+		all(func(h *holder) { h.out[o.Server] = o.Out })
+	case fleet.Level:
+		all(func(*holder) {})
+		class := y.site.Classes[y.governor.tables[o.Table].class]
+		worst := y.site.PerTry*class.Expected.Seconds() + 2 // a proxy may stand still for 2 s
+		if o.Retry >= fleet.RetryOnce && (class.Effect == fleet.Unsafe ||
+			class.Effect == fleet.Keyed && worst > class.Window.Seconds()) {
+			y.fail("effect twice: retry %d ordered for class %+v", o.Retry, class)
+		}
+	case fleet.Bind:
+		h := y.holders[o.Proxy]
+		reached[h] += float64(1 + len(y.tables[o.Table]))
+		for c := range h.on {
+			if o.Classes == 0 || o.Classes&(1<<c) != 0 {
+				h.on[c] = int(o.Table)
+			}
+		}
+		h.out = map[fleet.ServerID]bool{} // a bound proxy follows only this governor's withdrawals
+		for _, s := range y.governor.servers {
+			h.out[s.Server] = s.withdrawn
+		}
+	}
+}
+
+func (y *yard) fail(format string, args ...any) {
+	if y.broken == "" {
+		y.broken = fmt.Sprintf("%.2f s: ", (y.now-100*fleet.Second).Seconds()) + fmt.Sprintf(format, args...)
+	}
+}
+
+func (y *yard) check() {
+	for id, h := range y.holders {
+		if !h.joined {
+			continue
+		}
+		recent := 0
+		for _, at := range h.written {
+			if at > y.now-y.site.MessagesOver {
+				recent++
+			}
+		}
+		if recent > y.site.MessagesMost {
+			y.fail("short queue: %d messages to proxy %d", recent, id)
+		}
+		for c, class := range y.site.Classes {
+			held, warm := false, false
+			for _, m := range y.servers {
+				share := y.share(h, c, m.Server)
+				held = held || share > 0
+				local := !class.StaysLocal || m.Zone == h.zone
+				warm = warm || local && m.State == fleet.Ready && y.now >= m.Started+y.site.ColdFor
+				if share > 0 && h.on[c] >= 0 && !local {
+					y.fail("class %d of proxy %d leaves its zone", c, id)
+				}
+				if share > 0 && m.State != fleet.Ready && y.now > max(m.told, h.since)+y.site.DrainGrace/2 {
+					y.fail("drain: proxy %d sends to server %d", id, m.Server)
+				}
+			}
+			if held || !warm {
+				h.bare[c] = 0
+			} else if h.bare[c] == 0 {
+				h.bare[c] = y.now
+			} else if y.now > h.bare[c]+y.site.BareMost/2 {
+				y.fail("bare: proxy %d has no line for class %d", id, c)
+			}
+		}
+	}
+	for _, m := range y.servers {
+		if load := y.load(m.Server, -1); m.State == fleet.Ready && y.now > m.told+y.site.DrainGrace &&
+			load > y.site.FallFactor*y.capacity(m)*0.9 && y.now < m.Started+y.site.ColdFor {
+			y.fail("cold: server %d gets %.1f of %.1f", m.Server, load, y.capacity(m))
+		}
+	}
+	if y.lines > y.site.BacklogMost {
+		y.fail("short queue: %.0f lines wait", y.lines)
+	}
+}
+
+// run lets seconds pass with reports, and with mishaps so many times a second.
+func (y *yard) run(seconds int, mishaps float64) {
+	for tick := range 4 * seconds {
+		y.now += fleet.Second / 4
+		var events []fleet.Event
+		if tick%2 == 0 {
+			events = y.reports()
+		}
+		if y.rng.Float64() < mishaps/4 {
+			events = append(events, y.mishap()...)
+		}
+		y.step(events)
+	}
+}
+
+func (y *yard) mishap() []fleet.Event {
+	m, id := y.servers[y.rng.Intn(len(y.servers))], y.rng.Intn(len(y.holders))
+	down := 0
+	for _, other := range y.servers {
+		if other.State != fleet.Ready || other.Started > 0 {
+			down++
+		}
+	}
+	switch what := y.rng.Intn(8); {
+	case what == 0 && m.State == fleet.Ready && 3*down < len(y.servers):
+		m.State, m.told = fleet.ServerState(1+y.rng.Intn(2)), y.now
+		return []fleet.Event{fleet.List{Scope: fleet.ListDelta, Entries: []fleet.Entry{m.Entry}}}
+	case what <= 1 && m.State != fleet.Ready:
+		m.State, m.Started, m.told, m.sick, m.hung = fleet.Ready, y.now-fleet.Second/2, y.now, 0, false
+		return []fleet.Event{y.list(fleet.ListFull)}
+	case what == 2:
+		m.sick = 0.7 - m.sick
+	case what == 3:
+		m.hung = !m.hung
+	case what == 4 && y.holders[id].joined:
+		return []fleet.Event{y.leave(id, y.rng.Intn(2) == 0)}
+	case what <= 5 && !y.holders[id].joined:
+		return []fleet.Event{y.join(id)}
+	case what == 6 && y.rng.Intn(4) == 0: // the governor is killed: its proxies keep what they hold
+		for id, h := range y.holders {
+			if h.joined {
+				y.leave(id, false)
+			}
+		}
+		y.start(fleet.ListCached)
+	case what == 7:
+		return []fleet.Event{fleet.List{Scope: fleet.ListFailed}}
+	}
+	return nil
+}
