--- a/logic/logic.go
+++ b/logic/logic.go
@@ -135,7 +135,8 @@
 	taking         bool       // proxies hold a former governor's tables: watch before laying our own
 	strained       bool       // demand is beyond what the fleet can handle on time
 	target         float64    // busy share that the agreed densities are made for
-	meanCapacity   float64    // of a server
+	usual          float64    // capacity of a warm server, the median
+	lateness       float64    // of the fleet: the median of latency over best latency
 	perVisit       float64    // tries a visit let in
 	alarmAt        fleet.Time
 	askAt, askWait fleet.Time // when to ask for the list, 0: not now; the next wait
@@ -344,7 +345,8 @@
 		}
 		demand += b.demand * b.level
 	}
-	load, capacity, known, tries := 0.0, 0.0, 0.0, 0.0
+	load, capacity, tries := 0.0, 0.0, 0.0
+	var warm, ratios []float64
 	for _, s := range g.servers {
 		s.rate = 0
 		if s.State != fleet.Ready {
@@ -365,15 +367,31 @@
 			s.capacity = s.short.capacity
 		}
 		if s.capacity > 0 {
-			load, capacity, known = load+s.rate, capacity+s.capacity, known+1
+			load, capacity = load+s.rate, capacity+s.capacity
+			if !g.cold(s) {
+				warm = append(warm, s.capacity)
+			}
+		}
+		if s.quiet > 0 && s.long.latency > 0 {
+			ratios = append(ratios, float64(s.long.latency)/float64(s.quiet))
 		}
 	}
-	if known > 0 {
-		g.target, g.meanCapacity = min(busyMost, slack*load/capacity), capacity/known
+	if capacity > 0 {
+		g.target = min(busyMost, slack*load/capacity)
 	}
+	g.usual = cmp.Or(median(warm), g.usual)
+	g.lateness = max(1, median(ratios))
 	g.perVisit = max(1, tries/shortLook.Seconds()/max(demand, none))
 }
 
+func median(of []float64) float64 {
+	if len(of) == 0 {
+		return 0
+	}
+	slices.Sort(of)
+	return of[len(of)/2]
+}
+
 // rate gives events a second over some samples.
 func rate(samples []sample) float64 {
 	n, span := 0.0, fleet.Time(0)
@@ -418,12 +436,15 @@
 	return f
 }
 
-// late is the design's: past a factor of the best quiet latency.
-func (s *server) late() bool { return s.quiet > 0 && s.long.latency > s.quiet.Scale(lateFactor) }
+// late is the design's: past a factor of the best quiet latency. Where the whole fleet is slower than at its best
+// none is to blame for that part.
+func (g *Governor) late(s *server) bool {
+	return s.quiet > 0 && s.long.latency > s.quiet.Scale(lateFactor*g.lateness)
+}
 
-// judge sets what health leaves each server of its weight. Where the whole fleet fails or is late none is to blame.
+// judge sets what health leaves each server of its weight. Where the whole fleet fails none is to blame.
 func (g *Governor) judge() {
-	ready, zeroed, late, tries, failed := 0.0, 0.0, 0.0, 0.0, 0.0
+	ready, zeroed, tries, failed := 0.0, 0.0, 0.0, 0.0
 	for _, s := range g.servers {
 		if s.State != fleet.Ready {
 			continue
@@ -433,9 +454,6 @@
 		if s.held == 0 {
 			zeroed++
 		}
-		if s.late() {
-			late++
-		}
 	}
 	// Reports take turns: only a server passed over several times, while others were heard, is silent.
 	lines := float64(len(g.servers)*len(g.site.Zones)) + g.joined*float64(len(g.classes))
@@ -460,7 +478,7 @@
 		case s.held == 0 && g.now >= s.zeroUntil:
 			s.held, s.lastGood = quarter, g.now+settle
 		case s.held == 0:
-		case s.late() && 2*late <= ready:
+		case g.late(s):
 			if !s.halved && s.rate < s.capacity*g.target {
 				s.held, s.halved = max(quarter, s.held/2), true
 				g.log("server %d late: %.0f ms, best %.0f ms", s.Server, 1e3*s.long.latency.Seconds(), 1e3*s.quiet.Seconds())
@@ -477,14 +495,14 @@
 // balance is the design's ordinary path: cut by saturation overload, spread the cut evenly, normalise. As reports
 // give one latency a server, all its classes have the same relative density and saturation.
 func (g *Governor) balance() {
-	if g.meanCapacity == 0 {
+	if g.usual == 0 {
 		return
 	}
 	density, agreed := make([]float64, len(g.servers)), make([]float64, len(g.servers))
 	stay := func(s *server) float64 { return 1 + s.long.latency.Seconds()/interval.Seconds() }
 	for i, s := range g.servers {
 		if s.State == fleet.Ready && s.held > 0 {
-			density[i], agreed[i] = s.rate*stay(s), cmp.Or(s.capacity, g.meanCapacity)*g.target*stay(s)
+			density[i], agreed[i] = s.rate*stay(s), cmp.Or(s.capacity, g.usual)*g.target*stay(s)
 		}
 	}
 	for t := range g.tables {
@@ -554,7 +572,7 @@
 	capacity, demand := 0.0, 0.0
 	for _, s := range g.servers {
 		if s.State == fleet.Ready && s.held > 0 {
-			capacity += min(1, s.held+quarter) * cmp.Or(s.short.capacity, s.capacity, g.meanCapacity)
+			capacity += min(1, s.held+quarter) * cmp.Or(s.short.capacity, s.capacity, g.usual)
 		}
 	}
 	class := make([]float64, len(g.classes))
@@ -638,11 +656,11 @@
 		}
 	}
 	for _, s := range g.servers {
-		if s.State != fleet.Ready || !g.cold(s) || g.meanCapacity == 0 {
+		if s.State != fleet.Ready || !g.cold(s) || g.usual == 0 {
 			continue
 		}
 		grown := max(0, (g.now-s.Started).Seconds()/g.site.ColdFor.Seconds())
-		can, load := (g.site.ColdFrom+(1-g.site.ColdFrom)*grown)*g.meanCapacity, none
+		can, load := (g.site.ColdFrom+(1-g.site.ColdFrom)*grown)*g.usual, none
 		for t, b := range g.tables {
 			load += g.perVisit * b.demand * s.want[t] / max(b.wantedTotal, none)
 		}
