Let in visits up to a busy share of 0.78, not 0.85

Cause: single servers swing by a fifth round the fleet's mean, so at 0.85 some are full all the time.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -25,7 +25,7 @@
 	keepSamples = 128               // of a server: over two reports a second and zone within longLook
 	keepUsage   = 3                 // of a proxy and class: a few seconds of demand, as fresh as they come
 	slack       = 1.1               // target factor: asked density may pass the fleet's mean by a tenth
-	busyMost    = 0.85              // busy share past which waiting outgrows the work itself
+	busyMost    = 0.78              // busy share past which chance fills some servers and visits wait long
 	busySick    = 0.9               // a server this busy is overloaded, so it is cut and not zeroed
 	busyLeast   = 0.05              // a busy share below this tells nothing of capacity
 	shifted     = 1.5               // a capacity that changed by this factor is no chance: go by the short look
