Levels each second up to a busy share of 0.74; bound cold servers by warm ones

Also: newcomers get the median weight, weights return by a quarter an interval, target is never below the fleet's mean.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -19,19 +19,19 @@
 
 const (
 	interval    = 2 * fleet.Second  // the design's shortest measurement interval; weights change once in it
+	admitEvery  = fleet.Second      // levels follow demand at the pace of reports, not of weights
 	heartbeat   = fleet.Second / 4  // alarm pace: an eighth of the interval, for joins and cold guards
-	longLook    = 8 * fleet.Second  // four intervals: some 25 tries a server, which brings chance to a fifth
+	longLook    = 10 * fleet.Second // five intervals: some 30 tries a server, which brings chance to a fifth
 	shortLook   = 3 * fleet.Second  // a turn of reports and their delay: for what the whole fleet does
 	keepSamples = 128               // of a server: over two reports a second and zone within longLook
 	keepUsage   = 3                 // of a proxy and class: a few seconds of demand, as fresh as they come
 	slack       = 1.1               // target factor: asked density may pass the fleet's mean by a tenth
-	busyMost    = 0.78              // busy share past which chance fills some servers and visits wait long
+	busyMost    = 0.74              // busy share past which chance fills some servers and visits wait long
 	busySick    = 0.9               // a server this busy is overloaded, so it is cut and not zeroed
 	busyLeast   = 0.05              // a busy share below this tells nothing of capacity
 	shifted     = 1.5               // a capacity that changed by this factor is no chance: go by the short look
 	lateFactor  = 1.5               // the design's bound of late, over the best quiet latency
-	quarter     = 0.25              // the design's weight of fresh, returning and lowest halved servers
-	giveBack    = 0.1               // the design's part of weight that returns an on-time interval
+	quarter     = 0.25              // the design's weight of fresh, returning and lowest halved servers; and what returns an interval
 	zeroedMost  = 1.0 / 3           // the design's most servers at zero
 	failShare   = 0.25              // failed share that tells a sick server from chance errors
 	failLeast   = 3                 // failures: one or two are never a verdict
@@ -46,7 +46,7 @@
 	leastWeight = 0.01              // of the largest: keeps a line that can grow again
 	leastChange = 0.03              // relative change of a line or level worth sending
 	tooMuch     = 1.25              // a cold server's line this far over its bound can't wait for the interval
-	easeBack    = 0.2               // most that a level rises an interval: the let-in shall not come at once
+	easeBack    = 0.1               // most that a level rises at a time: the let-in shall not all come at once
 	levelFloor  = 0.1               // part of its visits that even the least valuable class keeps
 	rateOfAll   = 1e6               // visits a second at a proxy that stand for all
 	pace        = 0.25              // part of the stated channel pace to count on: it may be slow for a while
@@ -111,6 +111,7 @@
 }
 
 type proxy struct {
+	id      fleet.ProxyID
 	zone    fleet.ZoneID
 	fresh   bool // holds standing tables only
 	bound   bool
@@ -121,29 +122,27 @@
 
 // Governor decides for the proxies that are joined to it.
 type Governor struct {
-	site           fleet.Site
-	chance         chance
-	classes        []visitClass
-	tables         []table
-	servers        []*server // by id
-	proxies        []*proxy  // by number, nil: not joined
-	joined         float64
-	busyAt         int // position of the busy share in load reports, or -1
-	now, started   fleet.Time
-	judged, newest fleet.Time // last judgement; arrival of the newest report of tries
-	due            bool       // an interval ends with this step
-	taking         bool       // proxies hold a former governor's tables: watch before laying our own
-	strained       bool       // demand is beyond what the fleet can handle on time
-	target         float64    // busy share that the agreed densities are made for
-	usual          float64    // capacity of a warm server, the median
-	lateness       float64    // of the fleet: the median of latency over best latency
-	perVisit       float64    // tries a visit let in
-	alarmAt        fleet.Time
-	askAt, askWait fleet.Time // when to ask for the list, 0: not now; the next wait
-	waiting        float64    // lines in the channel, as we count them
-	waitingAt      fleet.Time
-	wrote          bool // this reply already counts as a message to all
-	orders         []fleet.Order
+	site                     fleet.Site
+	chance                   chance
+	classes                  []visitClass
+	tables                   []table
+	known                    map[fleet.ServerID]*server
+	servers, ready           []*server // by id: all known, those listed as ready
+	proxies                  []*proxy  // joined, by id
+	busyAt                   int       // position of the busy share in load reports, or -1
+	now, started             fleet.Time
+	judged, admitted, newest fleet.Time // last judgement, last levels; arrival of the newest report of tries
+	due                      bool       // an interval ends with this step
+	taking                   bool       // proxies hold a former governor's tables: watch before laying our own
+	target                   float64    // busy share that the agreed densities are made for
+	usual                    float64    // capacity of a warm server, the median
+	lateness                 float64    // of the fleet: the median of latency over best latency
+	alarmAt                  fleet.Time
+	askAt, askWait           fleet.Time // when to ask for the list, 0: not now; the next wait
+	waiting                  float64    // lines in the channel, as we count them
+	waitingAt                fleet.Time
+	wrote                    bool // this reply already counts as a message to all
+	orders                   []fleet.Order
 }
 
 // chance is a multiply-with-carry generator.
@@ -159,7 +158,8 @@
 // New makes a governor for a site.
 func New(site fleet.Site, seed uint64) *Governor {
 	g := &Governor{
-		site: site, chance: chance{uint32(seed) | 1, uint32(seed>>33) | 1}, askWait: askAgain, perVisit: 1,
+		site: site, chance: chance{uint32(seed) | 1, uint32(seed>>33) | 1}, askWait: askAgain,
+		known:  make(map[fleet.ServerID]*server),
 		busyAt: slices.Index(site.LoadFields, fleet.FieldBusy), target: busyMost, started: -1,
 	}
 	for i, c := range site.Classes {
@@ -189,15 +189,26 @@
 	for _, e := range events {
 		g.observe(e)
 	}
+	g.ready = g.ready[:0]
+	for _, s := range g.servers {
+		if s.State == fleet.Ready {
+			g.ready = append(g.ready, s)
+		}
+	}
 	// A proxy's former table may be down to withdrawn lines, so the watch ends well before that breaks a rule.
 	watched := g.taking && now >= g.started+min(takeOver, g.site.BareMost/2)
-	if g.due = now >= g.judged+interval || watched; g.due {
-		g.judged = now
+	g.due = now >= g.judged+interval || watched
+	if g.due || now >= g.admitted+admitEvery {
+		g.admitted = now
 		g.measure()
 		g.admit()
+	}
+	news := g.newest > g.judged // with no reports since the last interval there is nothing to go by: hold
+	if g.due {
+		g.judged = now
 		if watched {
 			g.adopt()
-		} else if !g.taking {
+		} else if news && !g.taking {
 			g.judge()
 			g.balance()
 		}
@@ -217,17 +228,16 @@
 	case fleet.List:
 		g.list(e)
 	case fleet.Joined:
-		for int(e.Proxy) >= len(g.proxies) {
-			g.proxies = append(g.proxies, nil)
-		}
-		g.proxies[e.Proxy] = &proxy{zone: e.Zone, fresh: e.Fresh, waits: true, usage: make([][]sample, len(g.classes))}
+		g.leave(e.Proxy)
+		g.proxies = append(g.proxies, &proxy{
+			id: e.Proxy, zone: e.Zone, fresh: e.Fresh, waits: true, usage: make([][]sample, len(g.classes)),
+		})
+		slices.SortFunc(g.proxies, func(a, b *proxy) int { return cmp.Compare(a.id, b.id) })
 		g.taking = g.taking || !e.Fresh && g.now < g.started+takeOver
 	case fleet.Left:
-		if int(e.Proxy) < len(g.proxies) {
-			g.proxies[e.Proxy] = nil
-		}
+		g.leave(e.Proxy)
 	case fleet.Heard:
-		if s := g.server(e.Server); s != nil {
+		if s := g.known[e.Server]; s != nil {
 			good := float64(e.Tries) - float64(e.Failed)
 			s.add(sample{g.now, e.Span, e.Zone, float64(e.Tries), good, e.Latency, g.busyIn(e.Load)})
 			g.newest = g.now
@@ -236,14 +246,15 @@
 			}
 		}
 	case fleet.Probed:
-		if s := g.server(e.Server); s != nil && e.Outcome == fleet.Answered {
+		if s := g.known[e.Server]; s != nil && e.Outcome == fleet.Answered {
 			s.add(sample{at: g.now, busy: g.busyIn(e.Load)})
 		}
 	case fleet.Usage:
-		if int(e.Proxy) < len(g.proxies) && g.proxies[e.Proxy] != nil && int(e.Class) < len(g.classes) {
-			p := g.proxies[e.Proxy]
-			u := append(p.usage[e.Class], sample{at: g.now, span: e.Span, tries: float64(e.Visits)})
-			p.usage[e.Class] = u[max(0, len(u)-keepUsage):]
+		for _, p := range g.proxies {
+			if p.id == e.Proxy && int(e.Class) < len(p.usage) {
+				u := append(p.usage[e.Class], sample{at: g.now, span: e.Span, tries: float64(e.Visits)})
+				p.usage[e.Class] = u[max(0, len(u)-keepUsage):]
+			}
 		}
 	}
 }
@@ -260,17 +271,8 @@
 	return float64(load[g.busyAt])
 }
 
-func (g *Governor) find(id fleet.ServerID) (int, bool) {
-	return slices.BinarySearchFunc(g.servers, id, func(s *server, id fleet.ServerID) int {
-		return cmp.Compare(s.Server, id)
-	})
-}
-
-func (g *Governor) server(id fleet.ServerID) *server {
-	if at, known := g.find(id); known {
-		return g.servers[at]
-	}
-	return nil
+func (g *Governor) leave(id fleet.ProxyID) {
+	g.proxies = slices.DeleteFunc(g.proxies, func(p *proxy) bool { return p.id == id })
 }
 
 // list follows the list of servers. A server that a full list lacks is gone.
@@ -286,13 +288,12 @@
 	}
 	atStart := len(g.servers) == 0
 	for _, entry := range e.Entries {
-		at, known := g.find(entry.Server)
+		s, known := g.known[entry.Server]
 		if !known {
 			n := len(g.tables)
-			s := &server{weight: make([]float64, n), want: make([]float64, n), out: make([]float64, n)}
-			g.servers = slices.Insert(g.servers, at, s)
+			s = &server{weight: make([]float64, n), want: make([]float64, n), out: make([]float64, n)}
+			g.known[entry.Server], g.servers = s, append(g.servers, s)
 		}
-		s := g.servers[at]
 		anew := !known || entry.Started != s.Started || s.State == fleet.Gone && entry.State != fleet.Gone
 		s.Entry, s.listed = entry, entry.State != fleet.Gone
 		if anew {
@@ -304,6 +305,7 @@
 			s.State = fleet.Gone
 		}
 	}
+	slices.SortFunc(g.servers, func(a, b *server) int { return cmp.Compare(a.Server, b.Server) })
 }
 
 // renew starts a server over: nothing is known of it, and unless it was up before we were it is fresh.
@@ -314,7 +316,14 @@
 		s.held = 1
 	}
 	for t := range g.tables {
-		if s.weight[t] = 1; atStart && g.site.ListWeight != fleet.WeightNone && s.Weight > 0 {
+		var others []float64
+		for _, o := range g.servers {
+			if o != s && g.open(o, t) {
+				others = append(others, o.weight[t])
+			}
+		}
+		s.weight[t] = cmp.Or(median(others), 1)
+		if atStart && g.site.ListWeight != fleet.WeightNone && s.Weight > 0 {
 			s.weight[t] = s.Weight
 		}
 	}
@@ -329,12 +338,11 @@
 
 // measure works out demand, each server's figures and those of the fleet.
 func (g *Governor) measure() {
-	demand := 0.0
 	for t := range g.tables {
 		b := &g.tables[t]
 		b.demand, b.total = 0, 0
 		for _, p := range g.proxies {
-			if p != nil && (!b.local || p.zone == b.zone) {
+			if !b.local || p.zone == b.zone {
 				b.demand += rate(p.usage[b.class])
 			}
 		}
@@ -343,22 +351,18 @@
 				b.total += s.out[t]
 			}
 		}
-		demand += b.demand * b.level
 	}
-	load, capacity, tries := 0.0, 0.0, 0.0
+	load, capacity := 0.0, 0.0
 	var warm, ratios []float64
-	for _, s := range g.servers {
+	for _, s := range g.ready {
 		s.rate = 0
-		if s.State != fleet.Ready {
-			continue
-		}
 		for t := range g.tables {
 			if b := &g.tables[t]; b.total > 0 {
 				s.rate += b.demand * b.level * s.out[t] / b.total
 			}
 		}
-		s.long, s.short = s.figures(g.now-longLook, len(g.site.Zones)), s.figures(g.now-shortLook, len(g.site.Zones))
-		tries += s.short.tries
+		s.long = s.figures(g.newest-longLook, len(g.site.Zones))
+		s.short = s.figures(g.newest-shortLook, len(g.site.Zones))
 		if s.long.latency > 0 && (s.quiet == 0 || s.long.latency < s.quiet) {
 			s.quiet = s.long.latency
 		}
@@ -377,11 +381,10 @@
 		}
 	}
 	if capacity > 0 {
-		g.target = min(busyMost, slack*load/capacity)
+		g.target = max(load/capacity, min(busyMost, slack*load/capacity))
 	}
 	g.usual = cmp.Or(median(warm), g.usual)
 	g.lateness = max(1, median(ratios))
-	g.perVisit = max(1, tries/shortLook.Seconds()/max(demand, none))
 }
 
 func median(of []float64) float64 {
@@ -436,32 +439,26 @@
 	return f
 }
 
-// late is the design's: past a factor of the best quiet latency. Where the whole fleet is slower than at its best
-// none is to blame for that part.
+// late is the design's: past a factor of the best quiet latency. None is to blame for the part by which the whole
+// fleet is slower than at its best, or for the waiting that its busy share explains: that is saturation's to cut.
 func (g *Governor) late(s *server) bool {
-	return s.quiet > 0 && s.long.latency > s.quiet.Scale(lateFactor*g.lateness)
+	waiting := 1 / max(busyLeast, 1-s.long.busy)
+	return s.quiet > 0 && s.long.latency > s.quiet.Scale(lateFactor*max(g.lateness, waiting))
 }
 
 // judge sets what health leaves each server of its weight. Where the whole fleet fails none is to blame.
 func (g *Governor) judge() {
-	ready, zeroed, tries, failed := 0.0, 0.0, 0.0, 0.0
-	for _, s := range g.servers {
-		if s.State != fleet.Ready {
-			continue
-		}
-		ready++
+	zeroed, tries, failed := 0.0, 0.0, 0.0
+	for _, s := range g.ready {
 		tries, failed = tries+s.long.tries, failed+s.long.failed
 		if s.held == 0 {
 			zeroed++
 		}
 	}
 	// Reports take turns: only a server passed over several times, while others were heard, is silent.
-	lines := float64(len(g.servers)*len(g.site.Zones)) + g.joined*float64(len(g.classes))
+	lines := float64(len(g.servers)*len(g.site.Zones) + len(g.proxies)*len(g.classes))
 	missed := missedTurns * max(g.site.ReportEvery, fleet.Second.Scale(lines/max(1, g.site.ReportsPerS)))
-	for _, s := range g.servers {
-		if s.State != fleet.Ready {
-			continue
-		}
+	for _, s := range g.ready {
 		unheard := g.newest - s.lastGood
 		silent := unheard > missed && s.rate*unheard.Seconds() > hangTries
 		sick := s.long.failed >= failLeast && s.long.failed > s.long.tries*max(failShare, 2*failed/max(1, tries))
@@ -469,7 +466,7 @@
 		case s.held > 0 && s.long.busy < busySick && (silent || sick):
 			s.hold = min(longestHold, max(interval, 2*s.hold))
 			s.held, s.zeroUntil = quarter, g.now+s.hold
-			if zeroed+1 <= ready*zeroedMost {
+			if zeroed+1 <= float64(len(g.ready))*zeroedMost {
 				s.held, zeroed = 0, zeroed+1
 			}
 			g.log("server %d cut off for %.0f s: silent %v, %.0f of %.0f tries failed",
@@ -484,7 +481,7 @@
 				g.log("server %d late: %.0f ms, best %.0f ms", s.Server, 1e3*s.long.latency.Seconds(), 1e3*s.quiet.Seconds())
 			}
 		default:
-			s.held, s.halved = min(1, s.held+giveBack), false
+			s.held, s.halved = min(1, s.held+quarter), false
 			if s.held == 1 {
 				s.hold = 0
 			}
@@ -498,10 +495,10 @@
 	if g.usual == 0 {
 		return
 	}
-	density, agreed := make([]float64, len(g.servers)), make([]float64, len(g.servers))
+	density, agreed := make([]float64, len(g.ready)), make([]float64, len(g.ready))
 	stay := func(s *server) float64 { return 1 + s.long.latency.Seconds()/interval.Seconds() }
-	for i, s := range g.servers {
-		if s.State == fleet.Ready && s.held > 0 {
+	for i, s := range g.ready {
+		if s.held > 0 {
 			density[i], agreed[i] = s.rate*stay(s), cmp.Or(s.capacity, g.usual)*g.target*stay(s)
 		}
 	}
@@ -511,38 +508,50 @@
 			continue
 		}
 		begun := func(s *server) float64 { return b.demand * b.level * s.out[t] / b.total * interval.Seconds() }
-		cut, most := 0.0, none
-		for i, s := range g.servers {
+		room := func(i int) float64 { // tries that a server at full weight can take up to saturation 1
+			if s := g.ready[i]; g.open(s, t) && s.held == 1 && density[i] < agreed[i] {
+				return (agreed[i] - density[i]) / stay(s) * interval.Seconds()
+			}
+			return 0
+		}
+		cut, most, before, after := 0.0, none, 0.0, none
+		for i, s := range g.ready {
+			if g.open(s, t) && s.held == 1 {
+				before += s.weight[t]
+			}
 			if tries := begun(s); g.open(s, t) && density[i] > agreed[i] && tries > none {
-				delta := min(tries, (density[i]-agreed[i])/density[i]*tries*stay(s))
+				delta := min(1, (density[i]-agreed[i])/density[i]*stay(s)) * tries
 				s.weight[t] *= 1 - delta/tries
 				cut += delta
 			}
 		}
 		for range 3 { // receivers fill up, so what is left is spread again
-			part := 0.0
-			for i, s := range g.servers {
-				if g.open(s, t) && s.held == 1 && density[i] < agreed[i] {
-					part++
+			receivers := 0.0
+			for i := range g.ready {
+				if room(i) > none {
+					receivers++
 				}
 			}
-			part = cut / max(1, part)
-			for i, s := range g.servers {
-				if g.open(s, t) && s.held == 1 && density[i] < agreed[i] && part > none {
-					share := min(part, (agreed[i]-density[i])/stay(s)*interval.Seconds())
-					s.weight[t] *= 1 + share/(begun(s)+1)
-					density[i] += share * stay(s) / interval.Seconds()
-					cut -= share
-				}
+			part := cut / max(1, receivers)
+			for i, s := range g.ready {
+				share := min(part, room(i))
+				s.weight[t] *= 1 + share/(begun(s)+1)
+				density[i] += share * stay(s) / interval.Seconds()
+				cut -= share
 			}
 		}
-		for _, s := range g.servers {
-			if g.open(s, t) {
-				most = max(most, s.weight[t])
+		for _, s := range g.ready {
+			if g.open(s, t) && s.held == 1 {
+				after, most = after+s.weight[t], max(most, s.weight[t])
 			}
 		}
-		for _, s := range g.servers {
-			s.weight[t] = max(leastWeight, s.weight[t]/most)
+		for _, s := range g.ready {
+			if g.open(s, t) && s.held < 1 && before > 0 {
+				s.weight[t] *= after / before // who stands aside keeps its place among those that carry
+			}
+			if g.open(s, t) {
+				s.weight[t] = min(1, max(leastWeight, s.weight[t]/most))
+			}
 		}
 	}
 }
@@ -550,15 +559,9 @@
 // adopt lays first tables after a restart that send what proxies were seen to send by their former ones.
 func (g *Governor) adopt() {
 	g.taking = false
-	most := 0.0
-	for _, s := range g.servers {
-		most = max(most, s.long.tries)
-	}
 	for _, s := range g.servers {
 		for t := range g.tables {
-			if most > 0 {
-				s.weight[t] = max(leastWeight, s.long.tries/most)
-			}
+			s.weight[t] = max(1, s.long.tries)
 		}
 		if s.held = 1; s.long.good == 0 || g.cold(s) {
 			s.held = quarter
@@ -570,8 +573,8 @@
 // tries feed the overload, so they are off while the fleet is strained.
 func (g *Governor) admit() {
 	capacity, demand := 0.0, 0.0
-	for _, s := range g.servers {
-		if s.State == fleet.Ready && s.held > 0 {
+	for _, s := range g.ready {
+		if s.held > 0 {
 			capacity += min(1, s.held+quarter) * cmp.Or(s.short.capacity, s.capacity, g.usual)
 		}
 	}
@@ -584,7 +587,10 @@
 		return
 	}
 	over := demand - busyMost*capacity
-	g.strained = over > 0
+	retry := fleet.RetryIfNeverRan
+	if over > 0 {
+		retry = fleet.RetryNever
+	}
 	for _, c := range g.classes {
 		cut := max(0, min(over, class[c.id]*(1-levelFloor)))
 		over -= cut
@@ -593,10 +599,7 @@
 			if b.class != c.id {
 				continue
 			}
-			b.retry = fleet.RetryIfNeverRan
-			if g.strained {
-				b.retry = fleet.RetryNever
-			}
+			b.retry = retry
 			if g.site.Admission != fleet.AdmitAll {
 				b.level = min(1-cut/max(class[c.id], none), b.level+easeBack)
 				b.amount = g.amount(b)
@@ -615,7 +618,7 @@
 	}
 	var rates []float64
 	for _, p := range g.proxies {
-		if p != nil && (!b.local || p.zone == b.zone) {
+		if !b.local || p.zone == b.zone {
 			rates = append(rates, rate(p.usage[b.class]))
 		}
 	}
@@ -655,24 +658,21 @@
 			b.wantedTotal += s.want[t]
 		}
 	}
-	for _, s := range g.servers {
-		if s.State != fleet.Ready || !g.cold(s) || g.usual == 0 {
+	for _, s := range g.ready {
+		if !g.cold(s) || g.usual == 0 {
 			continue
 		}
 		grown := max(0, (g.now-s.Started).Seconds()/g.site.ColdFor.Seconds())
 		can, load := (g.site.ColdFrom+(1-g.site.ColdFrom)*grown)*g.usual, none
 		for t, b := range g.tables {
-			load += g.perVisit * b.demand * s.want[t] / max(b.wantedTotal, none)
+			load += b.demand * s.want[t] / max(b.wantedTotal, none)
 		}
-		for t := range g.tables {
-			b := &g.tables[t]
-			others, share := b.wantedTotal-s.want[t], s.want[t]/max(b.wantedTotal, none)*coldSafe*can/load
-			if warm[t] > 0 && share < 1 {
-				s.want[t] = min(s.want[t], share/(1-share)*others)
+		for t, b := range g.tables {
+			if share := s.want[t] / max(b.wantedTotal, none); warm[t] > 0 {
+				s.want[t] = min(s.want[t], share*coldSafe*can/load*warm[t])
 			} else if load > can*g.site.FallFactor*coldAlone {
 				s.want[t] = 0
 			}
-			b.wantedTotal = others + s.want[t]
 		}
 	}
 }
@@ -680,12 +680,7 @@
 // reconcile works out the difference between what is wanted and what is out and emits it, urgent first.
 func (g *Governor) reconcile() {
 	g.waiting = max(0, g.waiting-(g.now-g.waitingAt).Seconds()*g.site.LinesPerS*pace)
-	g.waitingAt, g.wrote, g.joined = g.now, false, 0
-	for _, p := range g.proxies {
-		if p != nil {
-			g.joined++
-		}
-	}
+	g.waitingAt, g.wrote = g.now, false
 	if g.alarmAt <= g.now {
 		g.alarmAt = g.now + heartbeat
 		g.orders = append(g.orders, fleet.SetAlarm{After: heartbeat})
@@ -708,10 +703,10 @@
 	}
 	// Lines change once an interval; a withdrawal takes its replacement along, a cold server is lowered at once.
 	lines := g.changes(g.due || g.wrote)
-	cost := g.waiting + (float64(len(lines))+g.site.MessageHead)*g.joined
+	cost := g.waiting + (float64(len(lines))+g.site.MessageHead)*float64(len(g.proxies))
 	if g.wrote || !g.due || cost <= roomWeights*g.site.BacklogMost && g.mayWrite() {
 		for _, l := range lines {
-			s := g.server(l.Server)
+			s := g.known[l.Server]
 			s.out[l.Table] = s.want[l.Table]
 			g.toAll(l)
 		}
@@ -746,27 +741,20 @@
 // toAll gives an order that costs a line at every joined proxy.
 func (g *Governor) toAll(order fleet.Order) {
 	g.orders = append(g.orders, order)
-	g.waiting += g.joined
-	if g.wrote {
-		return
-	}
-	g.wrote = true
-	g.waiting += g.site.MessageHead * g.joined
 	for _, p := range g.proxies {
-		if p != nil {
+		if g.waiting++; !g.wrote {
+			g.waiting += g.site.MessageHead
 			p.written = append(p.written, g.now)
 		}
 	}
+	g.wrote = true
 }
 
 // mayWrite tells whether every proxy may be sent a message, with some kept back for urgent ones.
 func (g *Governor) mayWrite() bool {
 	for _, p := range g.proxies {
-		if p == nil || g.site.MessagesMost == 0 {
-			continue
-		}
 		p.written = slices.DeleteFunc(p.written, func(at fleet.Time) bool { return at <= g.now-g.site.MessagesOver })
-		if len(p.written) >= max(1, g.site.MessagesMost-spareWrites) {
+		if g.site.MessagesMost > 0 && len(p.written) >= max(1, g.site.MessagesMost-spareWrites) {
 			return false
 		}
 	}
@@ -777,8 +765,8 @@
 // not heard of earlier withdrawals, so they go out again.
 func (g *Governor) join() {
 	again := false
-	for id, p := range g.proxies {
-		if p == nil || p.bound {
+	for _, p := range g.proxies {
+		if p.bound {
 			continue
 		}
 		lines := g.site.MessageHead
@@ -798,9 +786,7 @@
 		p.bound, p.waits, p.written = true, false, append(p.written, g.now)
 		for t, b := range g.tables {
 			if !b.local || b.zone == p.zone {
-				g.orders = append(g.orders, fleet.Bind{
-					Proxy: fleet.ProxyID(id), Table: fleet.TableID(t), Classes: 1 << b.class,
-				})
+				g.orders = append(g.orders, fleet.Bind{Proxy: p.id, Table: fleet.TableID(t), Classes: 1 << b.class})
 			}
 		}
 	}
