Send the largest changes first as the channel has room; cold servers stand aside

Causes: an interval's lines were sent all or not at all, and with tables this large they never fitted the ordinary part of the channel; and a cold server at full held counted as one that carries, kept the weight 1 by which others were normalised and jumped when it was warm. Told from a lost message by the governor's own account of what was out. Changes: lines go out by size as far as there is room and the rest follows; cold servers stand aside until warm. Covers any crowd of proxies or large fleet; harm: a table is for some seconds a mix of two.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,7 +31,7 @@
 	busyLeast   = 0.05              // a busy share below this tells nothing of capacity
 	shifted     = 1.5               // a capacity that changed by this factor is no chance: go by the short look
 	lateFactor  = 1.5               // the design's bound of late, over the best quiet latency
-	quarter     = 0.25              // the design's weight of fresh, returning and lowest halved servers; and what returns an interval
+	quarter     = 0.25              // weight of fresh, returning, lowest halved servers; what comes back an interval
 	zeroedMost  = 1.0 / 3           // the design's most servers at zero
 	failShare   = 0.25              // failed share that tells a sick server from chance errors
 	failLeast   = 3                 // failures: one or two are never a verdict
@@ -42,14 +42,13 @@
 	settle      = 2 * fleet.Second  // until reports can speak of a change: travel and report delay
 	takeOver    = 4 * fleet.Second  // a restarted governor watches two intervals before it lays its own tables
 	coldSafe    = 0.8               // part of what a cold server surely can do that it is sent
-	coldAlone   = 0.5               // part of the load that pushes it over that it may get where no other is open
+	coldAlone   = 0.5               // part of the load that pushes it over that it may get with no other open
 	leastWeight = 0.01              // of the largest: keeps a line that can grow again
 	leastChange = 0.03              // relative change of a line or level worth sending
-	tooMuch     = 1.25              // a cold server's line this far over its bound can't wait for the interval
 	easeBack    = 0.1               // most that a level rises at a time: the let-in shall not all come at once
 	levelFloor  = 0.1               // part of its visits that even the least valuable class keeps
 	rateOfAll   = 1e6               // visits a second at a proxy that stand for all
-	pace        = 0.25              // part of the stated channel pace to count on: it may be slow for a while
+	pace        = 0.4               // part of the stated channel pace to count on: it may be slow for a while
 	roomWeights = 0.4               // part of the backlog that ordinary changes may fill
 	roomJoins   = 0.6               // part that joins may fill; the rest is for withdrawals and cold guards
 	spareWrites = 6                 // messages to a proxy kept back for urgent orders
@@ -87,37 +86,34 @@
 
 // figures are worked out from the samples of a while.
 type figures struct {
-	tries, good, failed float64
-	latency             fleet.Time // mean of the good ones
-	busy                float64    // mean, negative: not told
-	handled             float64    // good tries a second
-	capacity            float64    // the same at a busy share of 1; 0: not known
+	tries, failed     float64
+	latency           fleet.Time // mean of the good ones
+	busy              float64    // mean, negative: not told
+	handled, capacity float64    // good tries a second; the same at a busy share of 1, 0: not known
 }
 
 type server struct {
 	fleet.Entry
-	listed            bool // in the list being read
 	samples           []sample
 	long, short       figures
 	quiet             fleet.Time // best latency seen
 	lastGood          fleet.Time
-	held              float64 // part of its weight that health leaves it, 0 to 1
-	halved            bool
-	zeroUntil, hold   fleet.Time
-	capacity          float64   // tries a second at a busy share of 1, ours only; 0: not known
-	rate              float64   // tries a second that we send, by demand and table share
-	weight, want, out []float64 // by table: the mechanism's, wanted out, ordered
-	withdrawn         bool      // ordered
+	held              float64    // part of its weight that health leaves it, 0 to 1
+	zeroUntil, hold   fleet.Time // end of its time at zero, and how long that is
+	capacity          float64    // tries a second at a busy share of 1, ours only; 0: not known
+	rate              float64    // tries a second that we send, by demand and table share
+	weight, want, out []float64  // by table: the mechanism's, wanted out, ordered
+	listed, halved    bool       // is in the list being read; was halved since it was last on time
+	withdrawn         bool       // ordered
 }
 
 type proxy struct {
-	id      fleet.ProxyID
-	zone    fleet.ZoneID
-	fresh   bool // holds standing tables only
-	bound   bool
-	waits   bool       // for its table, and has not heard of earlier withdrawals
-	usage   [][]sample // by class
-	written []fleet.Time
+	id           fleet.ProxyID
+	zone         fleet.ZoneID
+	fresh, bound bool       // holds standing tables only; is on ours
+	waits        bool       // has not heard of earlier withdrawals
+	usage        [][]sample // by class
+	written      []fleet.Time
 }
 
 // Governor decides for the proxies that are joined to it.
@@ -127,21 +123,19 @@
 	classes                  []visitClass
 	tables                   []table
 	known                    map[fleet.ServerID]*server
-	servers, ready           []*server // by id: all known, those listed as ready
-	proxies                  []*proxy  // joined, by id
-	busyAt                   int       // position of the busy share in load reports, or -1
-	now, started             fleet.Time
+	servers, ready           []*server  // by id: all known, those listed as ready
+	proxies                  []*proxy   // joined, by id
+	busyAt                   int        // position of the busy share in load reports, or -1
+	now, started             fleet.Time // of this step, of the first
 	judged, admitted, newest fleet.Time // last judgement, last levels; arrival of the newest report of tries
-	due                      bool       // an interval ends with this step
-	taking                   bool       // proxies hold a former governor's tables: watch before laying our own
+	due, taking              bool       // an interval ends now; proxies hold former tables: watch first
 	target                   float64    // busy share that the agreed densities are made for
 	usual                    float64    // capacity of a warm server, the median
 	lateness                 float64    // of the fleet: the median of latency over best latency
-	alarmAt                  fleet.Time
-	askAt, askWait           fleet.Time // when to ask for the list, 0: not now; the next wait
+	alarmAt, askAt           fleet.Time // next alarm; when to ask for the list, 0: not now
+	askWait, waitingAt       fleet.Time // before the list is asked again; when waiting was worked out
 	waiting                  float64    // lines in the channel, as we count them
-	waitingAt                fleet.Time
-	wrote                    bool // this reply already counts as a message to all
+	wrote, more              bool       // this reply has a message to all; lines wait for room in the channel
 	orders                   []fleet.Order
 }
 
@@ -203,25 +197,20 @@
 		g.measure()
 		g.admit()
 	}
-	news := g.newest > g.judged // with no reports since the last interval there is nothing to go by: hold
+	if g.due && watched {
+		g.adopt()
+	} else if g.due && !g.taking && g.newest > g.judged { // with nothing new to go by, what is out stays
+		g.judge()
+		g.balance()
+	}
 	if g.due {
 		g.judged = now
-		if watched {
-			g.adopt()
-		} else if news && !g.taking {
-			g.judge()
-			g.balance()
-		}
 	}
 	g.wish()
 	g.reconcile()
 	return g.orders
 }
 
-func (g *Governor) log(format string, args ...any) {
-	g.orders = append(g.orders, fleet.Log{Text: fmt.Sprintf(format, args...)})
-}
-
 // observe takes in one event.
 func (g *Governor) observe(event fleet.Event) {
 	switch e := event.(type) {
@@ -229,9 +218,8 @@
 		g.list(e)
 	case fleet.Joined:
 		g.leave(e.Proxy)
-		g.proxies = append(g.proxies, &proxy{
-			id: e.Proxy, zone: e.Zone, fresh: e.Fresh, waits: true, usage: make([][]sample, len(g.classes)),
-		})
+		usage := make([][]sample, len(g.classes))
+		g.proxies = append(g.proxies, &proxy{id: e.Proxy, zone: e.Zone, fresh: e.Fresh, waits: true, usage: usage})
 		slices.SortFunc(g.proxies, func(a, b *proxy) int { return cmp.Compare(a.id, b.id) })
 		g.taking = g.taking || !e.Fresh && g.now < g.started+takeOver
 	case fleet.Left:
@@ -260,8 +248,7 @@
 }
 
 func (s *server) add(m sample) {
-	s.samples = append(s.samples, m)
-	s.samples = s.samples[max(0, len(s.samples)-keepSamples):]
+	s.samples = append(s.samples[max(0, len(s.samples)-keepSamples):], m)
 }
 
 func (g *Governor) busyIn(load []float32) float64 {
@@ -331,6 +318,9 @@
 
 func (g *Governor) cold(s *server) bool { return s.Started > 0 && g.now < s.Started+g.site.ColdFor }
 
+// whole tells whether a server carries its full part.
+func (g *Governor) whole(s *server) bool { return s.held == 1 && !g.cold(s) }
+
 // open tells whether a server may stand in a table.
 func (g *Governor) open(s *server, t int) bool {
 	return s.State == fleet.Ready && (!g.tables[t].local || s.Zone == g.tables[t].zone)
@@ -372,9 +362,9 @@
 		}
 		if s.capacity > 0 {
 			load, capacity = load+s.rate, capacity+s.capacity
-			if !g.cold(s) {
-				warm = append(warm, s.capacity)
-			}
+		}
+		if s.capacity > 0 && !g.cold(s) {
+			warm = append(warm, s.capacity)
 		}
 		if s.quiet > 0 && s.long.latency > 0 {
 			ratios = append(ratios, float64(s.long.latency)/float64(s.quiet))
@@ -388,11 +378,8 @@
 }
 
 func median(of []float64) float64 {
-	if len(of) == 0 {
-		return 0
-	}
 	slices.Sort(of)
-	return of[len(of)/2]
+	return append(of, 0)[len(of)/2]
 }
 
 // rate gives events a second over some samples.
@@ -408,7 +395,7 @@
 // are rationed and late, so their times of arrival tell little.
 func (s *server) figures(since fleet.Time, zones int) figures {
 	f := figures{busy: -1}
-	latency, busy, told := 0.0, 0.0, 0.0
+	good, latency, busy, told := 0.0, 0.0, 0.0, 0.0
 	byZone := make([]sample, zones)
 	for _, m := range s.samples {
 		if m.at < since || int(m.zone) >= zones {
@@ -416,8 +403,8 @@
 		}
 		byZone[m.zone].span += m.span
 		byZone[m.zone].tries += m.good
-		f.tries, f.good, f.failed = f.tries+m.tries, f.good+m.good, f.failed+m.tries-m.good
-		latency += m.good * m.latency.Seconds()
+		f.tries, f.failed = f.tries+m.tries, f.failed+m.tries-m.good
+		good, latency = good+m.good, latency+m.good*m.latency.Seconds()
 		if m.busy >= 0 {
 			busy, told = busy+m.busy, told+1
 		}
@@ -430,8 +417,8 @@
 	if told > 0 {
 		f.busy = max(busyLeast, busy/told)
 	}
-	if f.good >= enough {
-		f.latency = fleet.Second.Scale(latency / f.good)
+	if good >= enough {
+		f.latency = fleet.Second.Scale(latency / good)
 		if told > 0 {
 			f.capacity = f.handled / f.busy
 		}
@@ -439,8 +426,8 @@
 	return f
 }
 
-// late is the design's: past a factor of the best quiet latency. None is to blame for the part by which the whole
-// fleet is slower than at its best, or for the waiting that its busy share explains: that is saturation's to cut.
+// late is the design's: past a factor of the best quiet latency. None is to blame for what makes the whole
+// fleet slower, or for waiting that its own busy share explains: saturation cuts that.
 func (g *Governor) late(s *server) bool {
 	waiting := 1 / max(busyLeast, 1-s.long.busy)
 	return s.quiet > 0 && s.long.latency > s.quiet.Scale(lateFactor*max(g.lateness, waiting))
@@ -461,7 +448,7 @@
 	for _, s := range g.ready {
 		unheard := g.newest - s.lastGood
 		silent := unheard > missed && s.rate*unheard.Seconds() > hangTries
-		sick := s.long.failed >= failLeast && s.long.failed > s.long.tries*max(failShare, 2*failed/max(1, tries))
+		sick := s.long.failed >= max(failLeast, s.long.tries*max(failShare, 2*failed/max(1, tries)))
 		switch {
 		case s.held > 0 && s.long.busy < busySick && (silent || sick):
 			s.hold = min(longestHold, max(interval, 2*s.hold))
@@ -469,8 +456,9 @@
 			if zeroed+1 <= float64(len(g.ready))*zeroedMost {
 				s.held, zeroed = 0, zeroed+1
 			}
-			g.log("server %d cut off for %.0f s: silent %v, %.0f of %.0f tries failed",
-				s.Server, s.hold.Seconds(), silent, s.long.failed, s.long.tries)
+			g.orders = append(g.orders, fleet.Log{Text: fmt.Sprintf(
+				"server %d cut off for %.0f s: silent %v, %.0f of %.0f tries failed",
+				s.Server, s.hold.Seconds(), silent, s.long.failed, s.long.tries)})
 			s.samples = s.samples[:0]
 		case s.held == 0 && g.now >= s.zeroUntil:
 			s.held, s.lastGood = quarter, g.now+settle
@@ -478,7 +466,8 @@
 		case g.late(s):
 			if !s.halved && s.rate < s.capacity*g.target {
 				s.held, s.halved = max(quarter, s.held/2), true
-				g.log("server %d late: %.0f ms, best %.0f ms", s.Server, 1e3*s.long.latency.Seconds(), 1e3*s.quiet.Seconds())
+				g.orders = append(g.orders, fleet.Log{Text: fmt.Sprintf("server %d late: %.0f ms, best %.0f ms",
+					s.Server, 1e3*s.long.latency.Seconds(), 1e3*s.quiet.Seconds())})
 			}
 		default:
 			s.held, s.halved = min(1, s.held+quarter), false
@@ -489,8 +478,8 @@
 	}
 }
 
-// balance is the design's ordinary path: cut by saturation overload, spread the cut evenly, normalise. As reports
-// give one latency a server, all its classes have the same relative density and saturation.
+// balance is the design's ordinary path: cut by saturation overload, spread the cut evenly and normalise. As
+// reports give one latency a server, all its classes have the same relative density and saturation.
 func (g *Governor) balance() {
 	if g.usual == 0 {
 		return
@@ -507,16 +496,18 @@
 		if b.total == 0 || b.demand < none {
 			continue
 		}
-		begun := func(s *server) float64 { return b.demand * b.level * s.out[t] / b.total * interval.Seconds() }
+		begun := func(s *server) float64 {
+			return b.demand * b.level * s.out[t] / b.total * interval.Seconds()
+		}
 		room := func(i int) float64 { // tries that a server at full weight can take up to saturation 1
-			if s := g.ready[i]; g.open(s, t) && s.held == 1 && density[i] < agreed[i] {
+			if s := g.ready[i]; g.open(s, t) && g.whole(s) && density[i] < agreed[i] {
 				return (agreed[i] - density[i]) / stay(s) * interval.Seconds()
 			}
 			return 0
 		}
 		cut, most, before, after := 0.0, none, 0.0, none
 		for i, s := range g.ready {
-			if g.open(s, t) && s.held == 1 {
+			if g.open(s, t) && g.whole(s) {
 				before += s.weight[t]
 			}
 			if tries := begun(s); g.open(s, t) && density[i] > agreed[i] && tries > none {
@@ -541,12 +532,12 @@
 			}
 		}
 		for _, s := range g.ready {
-			if g.open(s, t) && s.held == 1 {
+			if g.open(s, t) && g.whole(s) {
 				after, most = after+s.weight[t], max(most, s.weight[t])
 			}
 		}
 		for _, s := range g.ready {
-			if g.open(s, t) && s.held < 1 && before > 0 {
+			if g.open(s, t) && !g.whole(s) && before > 0 {
 				s.weight[t] *= after / before // who stands aside keeps its place among those that carry
 			}
 			if g.open(s, t) {
@@ -563,7 +554,7 @@
 		for t := range g.tables {
 			s.weight[t] = max(1, s.long.tries)
 		}
-		if s.held = 1; s.long.good == 0 || g.cold(s) {
+		if s.held = 1; s.long.tries == 0 || g.cold(s) {
 			s.held = quarter
 		}
 	}
@@ -633,7 +624,7 @@
 	return rateOfAll
 }
 
-// wish works out the lines that should be out. Nobody goes bare: where no warm server is left at weight, those
+// wish works out the lines that should be out. Nobody goes bare: with no warm server left at weight, those
 // held at zero share the table. A cold server gets less than it surely can do, over all tables, also when its
 // neighbours have just died; alone in a table it gets nothing where its load could push it over.
 func (g *Governor) wish() {
@@ -701,15 +692,19 @@
 	if g.site.Slices > 0 {
 		return
 	}
-	// Lines change once an interval; a withdrawal takes its replacement along, a cold server is lowered at once.
-	lines := g.changes(g.due || g.wrote)
-	cost := g.waiting + (float64(len(lines))+g.site.MessageHead)*float64(len(g.proxies))
-	if g.wrote || !g.due || cost <= roomWeights*g.site.BacklogMost && g.mayWrite() {
-		for _, l := range lines {
-			s := g.known[l.Server]
-			s.out[l.Table] = s.want[l.Table]
-			g.toAll(l)
-		}
+	// Lines change once an interval, the largest changes first; what the channel has no room for follows soon.
+	// A withdrawal takes its replacement along; cold servers and bare tables can't wait and need no room.
+	lines, urgent := g.changes(g.due || g.wrote || g.more)
+	room := (roomWeights*g.site.BacklogMost-g.waiting)/float64(max(1, len(g.proxies))) - g.site.MessageHead
+	if !g.wrote && !g.mayWrite() {
+		room = 0
+	}
+	fit := min(len(lines), urgent+max(0, int(room)))
+	lines, g.more = lines[:fit], fit < len(lines)
+	for _, l := range lines {
+		s := g.known[l.Server]
+		s.out[l.Table] = s.want[l.Table]
+		g.toAll(l)
 	}
 	for t := range g.tables {
 		if b := &g.tables[t]; math.Abs(b.amount-b.amountOut) > leastChange*b.amountOut || b.retry != b.retryOut {
@@ -720,8 +715,9 @@
 	g.join()
 }
 
-// changes gives the lines to send: all that differ enough, or only those that can't wait.
-func (g *Governor) changes(ordinary bool) (lines []fleet.Share) {
+// changes gives the lines to send and how many of them can't wait: those come first, then the ordinary ones
+// if they are due, by size.
+func (g *Governor) changes(ordinary bool) (lines []fleet.Share, urgent int) {
 	for t := range g.tables {
 		bare := true
 		for _, s := range g.servers {
@@ -729,13 +725,22 @@
 		}
 		for _, s := range g.servers {
 			w, o := s.want[t], s.out[t]
-			differs := w != o && (w == 0 || math.Abs(w-o) > leastChange*o)
-			if differs && (ordinary || bare || g.cold(s) && o > tooMuch*w) {
-				lines = append(lines, fleet.Share{Table: fleet.TableID(t), Server: s.Server, Weight: float32(w)})
+			l := fleet.Share{Table: fleet.TableID(t), Server: s.Server, Weight: float32(w)}
+			if hurry := bare || g.cold(s) && o > slack*w; w == o || w > 0 && math.Abs(w-o) <= leastChange*o {
+				continue
+			} else if hurry {
+				lines, urgent = slices.Insert(lines, 0, l), urgent+1
+			} else if ordinary {
+				lines = append(lines, l)
 			}
 		}
 	}
-	return lines
+	size := func(l fleet.Share) float64 {
+		s := g.known[l.Server]
+		return math.Abs(s.want[l.Table] - s.out[l.Table])
+	}
+	slices.SortStableFunc(lines[urgent:], func(a, b fleet.Share) int { return cmp.Compare(size(b), size(a)) })
+	return lines, urgent
 }
 
 // toAll gives an order that costs a line at every joined proxy.
@@ -753,7 +758,8 @@
 // mayWrite tells whether every proxy may be sent a message, with some kept back for urgent ones.
 func (g *Governor) mayWrite() bool {
 	for _, p := range g.proxies {
-		p.written = slices.DeleteFunc(p.written, func(at fleet.Time) bool { return at <= g.now-g.site.MessagesOver })
+		over := func(at fleet.Time) bool { return at <= g.now-g.site.MessagesOver }
+		p.written = slices.DeleteFunc(p.written, over)
 		if g.site.MessagesMost > 0 && len(p.written) >= max(1, g.site.MessagesMost-spareWrites) {
 			return false
 		}
@@ -761,23 +767,15 @@
 	return true
 }
 
-// join puts proxies on their tables, as many as the channel has room for. One that must wait for its table has
-// not heard of earlier withdrawals, so they go out again.
+// join puts proxies on their tables, as many as the channel has room for. One that must wait for its table
+// has not heard of earlier withdrawals, so they go out again.
 func (g *Governor) join() {
 	again := false
 	for _, p := range g.proxies {
 		if p.bound {
 			continue
 		}
-		lines := g.site.MessageHead
-		for t := range g.tables {
-			lines += 2
-			for _, s := range g.servers {
-				if s.out[t] > 0 || s.withdrawn {
-					lines++
-				}
-			}
-		}
+		lines := g.site.MessageHead + float64(len(g.tables)*(2+len(g.servers)))
 		if g.taking && !p.fresh || g.waiting+lines > roomJoins*g.site.BacklogMost {
 			again, p.waits = again || p.waits, false
 			continue
