--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -212,13 +212,16 @@
 // took the whole table when it was warm.
 func TestServerLeavingColdDoesNotTakeTheTable(t *testing.T) {
 	y := newYard(11, 10, 5)
+	for _, h := range y.holders {
+		h.demand *= 1.5
+	}
 	y.run(10, 0)
 	m := y.servers[0]
 	m.Started, m.told = y.now, y.now
 	y.step([]fleet.Event{y.list(fleet.ListFull)})
 	for range 40 {
 		y.run(1, 0)
-		if load := y.load(m.Server, -1); load > yardCapacity {
+		if load := y.load(m.Server, -1); load > 1.5*yardCapacity {
 			t.Fatalf("%.0f visits a second, %v after its start", load, (y.now - m.Started).Seconds())
 		}
 	}
