--- a/logic/logic.go
+++ b/logic/logic.go
@@ -505,11 +505,8 @@
 			}
 			return 0
 		}
-		cut, most, before, after := 0.0, none, 0.0, none
+		cut, most := 0.0, none
 		for i, s := range g.ready {
-			if g.open(s, t) && g.whole(s) {
-				before += s.weight[t]
-			}
 			if tries := begun(s); g.open(s, t) && density[i] > agreed[i] && tries > none {
 				delta := min(1, (density[i]-agreed[i])/density[i]*stay(s)) * tries
 				s.weight[t] *= 1 - delta/tries
@@ -533,13 +530,10 @@
 		}
 		for _, s := range g.ready {
 			if g.open(s, t) && g.whole(s) {
-				after, most = after+s.weight[t], max(most, s.weight[t])
+				most = max(most, s.weight[t])
 			}
 		}
 		for _, s := range g.ready {
-			if g.open(s, t) && !g.whole(s) && before > 0 {
-				s.weight[t] *= after / before // who stands aside keeps its place among those that carry
-			}
 			if g.open(s, t) {
 				s.weight[t] = min(1, max(leastWeight, s.weight[t]/most))
 			}
