--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,7 +31,7 @@
 	busyLeast   = 0.05              // a busy share below this tells nothing of capacity
 	shifted     = 1.5               // a capacity that changed by this factor is no chance: go by the short look
 	lateFactor  = 1.5               // the design's bound of late, over the best quiet latency
-	quarter     = 0.25              // weight of fresh, returning, lowest halved servers; what comes back an interval
+	quarter     = 0.25              // weight of fresh, returning, lowest halved servers; returned an interval
 	zeroedMost  = 1.0 / 3           // the design's most servers at zero
 	failShare   = 0.25              // failed share that tells a sick server from chance errors
 	failLeast   = 3                 // failures: one or two are never a verdict
@@ -42,6 +42,7 @@
 	settle      = 2 * fleet.Second  // until reports can speak of a change: travel and report delay
 	takeOver    = 4 * fleet.Second  // a restarted governor watches two intervals before it lays its own tables
 	coldSafe    = 0.8               // part of what a cold server surely can do that it is sent
+	lowShare    = 0.25              // quantile that stands for an unknown capacity where a high guess does harm
 	coldAlone   = 0.5               // part of the load that pushes it over that it may get with no other open
 	leastWeight = 0.01              // of the largest: keeps a line that can grow again
 	leastChange = 0.03              // relative change of a line or level worth sending
@@ -130,8 +131,8 @@
 	judged, admitted, newest fleet.Time // last judgement, last levels; arrival of the newest report of tries
 	due, taking              bool       // an interval ends now; proxies hold former tables: watch first
 	target                   float64    // busy share that the agreed densities are made for
-	usual                    float64    // capacity of a warm server, the median
-	lateness                 float64    // of the fleet: the median of latency over best latency
+	usual, least             float64    // capacity of a warm server: the median, the low quartile
+	lateness, failing        float64    // of the fleet: median of latency over best latency; failed share of tries
 	alarmAt, askAt           fleet.Time // next alarm; when to ask for the list, 0: not now
 	askWait, waitingAt       fleet.Time // before the list is asked again; when waiting was worked out
 	waiting                  float64    // lines in the channel, as we count them
@@ -309,7 +310,7 @@
 				others = append(others, o.weight[t])
 			}
 		}
-		s.weight[t] = cmp.Or(median(others), 1)
+		s.weight[t] = cmp.Or(quantile(others, 0.5), 1)
 		if atStart && g.site.ListWeight != fleet.WeightNone && s.Weight > 0 {
 			s.weight[t] = s.Weight
 		}
@@ -342,7 +343,7 @@
 			}
 		}
 	}
-	load, capacity := 0.0, 0.0
+	load, capacity, tries, failed := 0.0, 0.0, 0.0, 0.0
 	var warm, ratios []float64
 	for _, s := range g.ready {
 		s.rate = 0
@@ -353,6 +354,7 @@
 		}
 		s.long = s.figures(g.newest-longLook, len(g.site.Zones))
 		s.short = s.figures(g.newest-shortLook, len(g.site.Zones))
+		tries, failed = tries+s.short.tries, failed+s.short.failed
 		if s.long.latency > 0 && (s.quiet == 0 || s.long.latency < s.quiet) {
 			s.quiet = s.long.latency
 		}
@@ -362,9 +364,9 @@
 		}
 		if s.capacity > 0 {
 			load, capacity = load+s.rate, capacity+s.capacity
-		}
-		if s.capacity > 0 && !g.cold(s) {
-			warm = append(warm, s.capacity)
+			if !g.cold(s) {
+				warm = append(warm, s.capacity)
+			}
 		}
 		if s.quiet > 0 && s.long.latency > 0 {
 			ratios = append(ratios, float64(s.long.latency)/float64(s.quiet))
@@ -373,13 +375,14 @@
 	if capacity > 0 {
 		g.target = max(load/capacity, min(busyMost, slack*load/capacity))
 	}
-	g.usual = cmp.Or(median(warm), g.usual)
-	g.lateness = max(1, median(ratios))
+	g.usual, g.least = cmp.Or(quantile(warm, 0.5), g.usual), cmp.Or(quantile(warm, lowShare), g.least)
+	g.lateness = max(1, quantile(ratios, 0.5))
+	g.failing = failed / max(1, tries)
 }
 
-func median(of []float64) float64 {
+func quantile(of []float64, share float64) float64 {
 	slices.Sort(of)
-	return append(of, 0)[len(of)/2]
+	return append(of, 0)[int(float64(len(of))*share)]
 }
 
 // rate gives events a second over some samples.
@@ -507,10 +510,10 @@
 		}
 		cut, most := 0.0, none
 		for i, s := range g.ready {
-			if tries := begun(s); g.open(s, t) && density[i] > agreed[i] && tries > none {
-				delta := min(1, (density[i]-agreed[i])/density[i]*stay(s)) * tries
-				s.weight[t] *= 1 - delta/tries
-				cut += delta
+			if g.open(s, t) && density[i] > agreed[i] {
+				part := min(1, (density[i]-agreed[i])/density[i]*stay(s)) // Δ over tries begun
+				s.weight[t] *= 1 - part
+				cut += part * begun(s)
 			}
 		}
 		for range 3 { // receivers fill up, so what is left is spread again
@@ -557,10 +560,13 @@
 // admit lets in what the fleet can handle on time, cutting visits of least value first. Beyond that further
 // tries feed the overload, so they are off while the fleet is strained.
 func (g *Governor) admit() {
-	capacity, demand := 0.0, 0.0
+	handled, busy, carry, demand := 0.0, 0.0, 0.0, 0.0
 	for _, s := range g.ready {
 		if s.held > 0 {
-			capacity += min(1, s.held+quarter) * cmp.Or(s.short.capacity, s.capacity, g.usual)
+			carry += min(1, s.held+quarter)
+		}
+		if s.held > 0 && s.short.busy >= 0 {
+			handled, busy = handled+s.short.handled, busy+s.short.busy
 		}
 	}
 	class := make([]float64, len(g.classes))
@@ -568,13 +574,14 @@
 		class[b.class] += b.demand
 		demand += b.demand
 	}
-	if capacity == 0 || demand < none {
+	if busy == 0 || demand < none {
 		return
 	}
+	capacity := handled / busy * carry // visits a second at a busy share of 1, were all as these
 	over := demand - busyMost*capacity
-	retry := fleet.RetryIfNeverRan
-	if over > 0 {
-		retry = fleet.RetryNever
+	retry := fleet.RetryNever
+	if over <= 0 {
+		retry = fleet.RetryIfNeverRan
 	}
 	for _, c := range g.classes {
 		cut := max(0, min(over, class[c.id]*(1-levelFloor)))
@@ -648,13 +655,16 @@
 			continue
 		}
 		grown := max(0, (g.now-s.Started).Seconds()/g.site.ColdFor.Seconds())
-		can, load := (g.site.ColdFrom+(1-g.site.ColdFrom)*grown)*g.usual, none
+		// Where tries fail, proxies keep away from the servers that fail them and crowd on those that answer,
+		// whatever their weights: a cold one must be out of the tables by then.
+		crowd := max(0, 1-g.failing/failShare)
+		can, load := (g.site.ColdFrom+(1-g.site.ColdFrom)*grown)*g.least*crowd, none
 		for t, b := range g.tables {
 			load += b.demand * s.want[t] / max(b.wantedTotal, none)
 		}
 		for t, b := range g.tables {
-			if share := s.want[t] / max(b.wantedTotal, none); warm[t] > 0 {
-				s.want[t] = min(s.want[t], share*coldSafe*can/load*warm[t])
+			if warm[t] > 0 {
+				s.want[t] = min(s.want[t], s.want[t]/b.wantedTotal*coldSafe*can/load*warm[t])
 			} else if load > can*g.site.FallFactor*coldAlone {
 				s.want[t] = 0
 			}
@@ -671,8 +681,7 @@
 		g.orders = append(g.orders, fleet.SetAlarm{After: heartbeat})
 	}
 	if g.askAt > 0 && g.askAt <= g.now {
-		g.askAt = 0
-		g.orders = append(g.orders, fleet.Watch{On: true})
+		g.askAt, g.orders = 0, append(g.orders, fleet.Watch{On: true})
 	}
 	for _, s := range g.servers {
 		if g.due && g.site.Probes && g.site.Report == fleet.ReportOnProbe && s.State == fleet.Ready {
