--- a/logic/logic.go
+++ b/logic/logic.go
@@ -132,7 +132,7 @@
 	due, taking              bool       // an interval ends now; proxies hold former tables: watch first
 	target                   float64    // busy share that the agreed densities are made for
 	usual, least             float64    // capacity of a warm server: the median, the low quartile
-	lateness, failing        float64    // of the fleet: median of latency over best latency; failed share of tries
+	failing                  float64    // failed share of all tries in the short look
 	alarmAt, askAt           fleet.Time // next alarm; when to ask for the list, 0: not now
 	askWait, waitingAt       fleet.Time // before the list is asked again; when waiting was worked out
 	waiting                  float64    // lines in the channel, as we count them
@@ -344,7 +344,7 @@
 		}
 	}
 	load, capacity, tries, failed := 0.0, 0.0, 0.0, 0.0
-	var warm, ratios []float64
+	var warm []float64
 	for _, s := range g.ready {
 		s.rate = 0
 		for t := range g.tables {
@@ -368,15 +368,11 @@
 				warm = append(warm, s.capacity)
 			}
 		}
-		if s.quiet > 0 && s.long.latency > 0 {
-			ratios = append(ratios, float64(s.long.latency)/float64(s.quiet))
-		}
 	}
 	if capacity > 0 {
 		g.target = max(load/capacity, min(busyMost, slack*load/capacity))
 	}
 	g.usual, g.least = cmp.Or(quantile(warm, 0.5), g.usual), cmp.Or(quantile(warm, lowShare), g.least)
-	g.lateness = max(1, quantile(ratios, 0.5))
 	g.failing = failed / max(1, tries)
 }
 
@@ -429,11 +425,11 @@
 	return f
 }
 
-// late is the design's: past a factor of the best quiet latency. None is to blame for what makes the whole
-// fleet slower, or for waiting that its own busy share explains: saturation cuts that.
-func (g *Governor) late(s *server) bool {
+// late is the design's: past a factor of the best quiet latency. No server is to blame for waiting that its busy
+// share explains: saturation cuts that.
+func (s *server) late() bool {
 	waiting := 1 / max(busyLeast, 1-s.long.busy)
-	return s.quiet > 0 && s.long.latency > s.quiet.Scale(lateFactor*max(g.lateness, waiting))
+	return s.quiet > 0 && s.long.latency > s.quiet.Scale(lateFactor*max(1, waiting))
 }
 
 // judge sets what health leaves each server of its weight. Where the whole fleet fails none is to blame.
@@ -466,7 +462,7 @@
 		case s.held == 0 && g.now >= s.zeroUntil:
 			s.held, s.lastGood = quarter, g.now+settle
 		case s.held == 0:
-		case g.late(s):
+		case s.late():
 			if !s.halved && s.rate < s.capacity*g.target {
 				s.held, s.halved = max(quarter, s.held/2), true
 				g.orders = append(g.orders, fleet.Log{Text: fmt.Sprintf("server %d late: %.0f ms, best %.0f ms",
