Squeeze the least valuable classes into a few servers where none can be refused

Cause: the site admits no levels, so the fleet works on visits already given up; told from sick servers by busy shares of 0.9 and more everywhere. Change, after the paper's third scenario (graceful degradation): beyond 1.1 of the fleet's capacity the classes of least value for their work share a few servers and the others keep away from them, until the load is below 0.74.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -26,6 +26,7 @@
 	keepSamples = 128               // of a server: over two reports a second and zone within longLook
 	keepUsage   = 3                 // of a proxy and class: a few seconds of demand, as fresh as they come
 	slack       = 1.1               // target factor: asked density may pass the fleet's mean by a tenth
+	squeezeAt   = 1.1               // part of its capacity asked of a fleet past which classes are squeezed
 	busyMost    = 0.74              // busy share past which chance fills some servers and visits wait long
 	busySick    = 0.9               // a server this busy is overloaded, so it is cut and not zeroed
 	busyLeast   = 0.05              // a busy share below this tells nothing of capacity
@@ -35,14 +36,10 @@
 	zeroedMost  = 1.0 / 3           // the design's most servers at zero
 	failShare   = 0.25              // failed share that tells a sick server from chance errors
 	failLeast   = 3                 // failures: one or two are never a verdict
-	hangTries   = 8                 // tries unheard of: chance alone does it once in 3000 judgements
+	enough      = 8                 // tries that make a mean worth using; as many go unheard by chance 1 in 3000
 	missedTurns = 3                 // turns of reporting to miss before silence counts
-	enough      = 8                 // good tries that make a mean worth using
 	longestHold = 16 * fleet.Second // doubling time at zero ends here, after 8 intervals
-	settle      = 2 * fleet.Second  // until reports can speak of a change: travel and report delay
-	takeOver    = 4 * fleet.Second  // a restarted governor watches two intervals before it lays its own tables
 	coldSafe    = 0.8               // part of what a cold server surely can do that it is sent
-	lowShare    = 0.25              // quantile that stands for an unknown capacity where a high guess does harm
 	coldAlone   = 0.5               // part of the load that pushes it over that it may get with no other open
 	leastWeight = 0.01              // of the largest: keeps a line that can grow again
 	leastChange = 0.03              // relative change of a line or level worth sending
@@ -50,25 +47,24 @@
 	levelFloor  = 0.1               // part of its visits that even the least valuable class keeps
 	rateOfAll   = 1e6               // visits a second at a proxy that stand for all
 	pace        = 0.4               // part of the stated channel pace to count on: it may be slow for a while
-	roomWeights = 0.4               // part of the backlog that ordinary changes may fill
-	roomJoins   = 0.6               // part that joins may fill; the rest is for withdrawals and cold guards
+	room        = 0.5               // part of the backlog for joins and ordinary changes; urgent ones take more
 	spareWrites = 6                 // messages to a proxy kept back for urgent orders
 	askAgain    = fleet.Second / 2  // first wait before the list is asked again; doubles, with jitter
-	askMost     = 4 * fleet.Second  // longest such wait, well inside the time after which we count as told
 	none        = 1e-9              // a rate or weight below this is none
 )
 
-// visitClass is what differs by class, in rows from the least value up.
+// visitClass is what differs by class, in rows from the least value for its work up.
 type visitClass struct {
-	id    fleet.ClassID
-	value float64
+	id          fleet.ClassID
+	value, work float64 // value for its work; expected time stands for work
+	squeezed    bool
 }
 
 // table is one shared table: of a class, and of one zone where the class stays local.
 type table struct {
 	class              fleet.ClassID
 	zone               fleet.ZoneID
-	local              bool
+	local, squeezed    bool    // squeezed: goes to the refuge only
 	demand             float64 // visits a second that come to the proxies on it
 	level              float64 // part of them to let in
 	amount, amountOut  float64 // the same in the site's unit: wanted, ordered
@@ -105,6 +101,7 @@
 	rate              float64    // tries a second that we send, by demand and table share
 	weight, want, out []float64  // by table: the mechanism's, wanted out, ordered
 	listed, halved    bool       // is in the list being read; was halved since it was last on time
+	refuge            bool       // takes the squeezed classes, and only those
 	withdrawn         bool       // ordered
 }
 
@@ -114,7 +111,6 @@
 	fresh, bound bool       // holds standing tables only; is on ours
 	waits        bool       // has not heard of earlier withdrawals
 	usage        [][]sample // by class
-	written      []fleet.Time
 }
 
 // Governor decides for the proxies that are joined to it.
@@ -124,19 +120,21 @@
 	classes                  []visitClass
 	tables                   []table
 	known                    map[fleet.ServerID]*server
-	servers, ready           []*server  // by id: all known, those listed as ready
-	proxies                  []*proxy   // joined, by id
-	busyAt                   int        // position of the busy share in load reports, or -1
-	now, started             fleet.Time // of this step, of the first
-	judged, admitted, newest fleet.Time // last judgement, last levels; arrival of the newest report of tries
-	due, taking              bool       // an interval ends now; proxies hold former tables: watch first
-	target                   float64    // busy share that the agreed densities are made for
-	usual, least             float64    // capacity of a warm server: the median, the low quartile
-	failing                  float64    // failed share of all tries in the short look
-	alarmAt, askAt           fleet.Time // next alarm; when to ask for the list, 0: not now
-	askWait, waitingAt       fleet.Time // before the list is asked again; when waiting was worked out
-	waiting                  float64    // lines in the channel, as we count them
-	wrote, more              bool       // this reply has a message to all; lines wait for room in the channel
+	servers, ready           []*server    // by id: all known, those listed as ready
+	proxies                  []*proxy     // joined, by id
+	busyAt                   int          // position of the busy share in load reports, or -1
+	now, started             fleet.Time   // of this step, of the first
+	judged, admitted, newest fleet.Time   // last judgement, last levels; arrival of the newest report of tries
+	due, taking              bool         // an interval ends now; proxies hold former tables: watch first
+	target                   float64      // busy share that the agreed densities are made for
+	refuge                   int          // servers that take the squeezed classes, 0: none squeezed
+	usual, least             float64      // capacity of a warm server: the median, the low quartile
+	failing                  float64      // failed share of all tries in the short look
+	alarmAt, askAt           fleet.Time   // next alarm; when to ask for the list, 0: not now
+	askWait, waitingAt       fleet.Time   // before the list is asked again; when waiting was worked out
+	waiting                  float64      // lines in the channel, as we count them
+	wrote, more              bool         // this reply has a message to all; lines wait for room in the channel
+	written                  []fleet.Time // replies that wrote to any proxy, as far back as messages are counted
 	orders                   []fleet.Order
 }
 
@@ -158,7 +156,8 @@
 		busyAt: slices.Index(site.LoadFields, fleet.FieldBusy), target: busyMost, started: -1,
 	}
 	for i, c := range site.Classes {
-		g.classes = append(g.classes, visitClass{fleet.ClassID(i), c.Value})
+		work := max(none, c.Expected.Seconds())
+		g.classes = append(g.classes, visitClass{id: fleet.ClassID(i), value: c.Value / work, work: work})
 		for z := range site.Zones {
 			if z == 0 || c.StaysLocal {
 				g.tables = append(g.tables, table{
@@ -191,7 +190,7 @@
 		}
 	}
 	// A proxy's former table may be down to withdrawn lines, so the watch ends well before that breaks a rule.
-	watched := g.taking && now >= g.started+min(takeOver, g.site.BareMost/2)
+	watched := g.taking && now >= g.started+g.site.BareMost/2
 	g.due = now >= g.judged+interval || watched
 	if g.due || now >= g.admitted+admitEvery {
 		g.admitted = now
@@ -222,7 +221,7 @@
 		usage := make([][]sample, len(g.classes))
 		g.proxies = append(g.proxies, &proxy{id: e.Proxy, zone: e.Zone, fresh: e.Fresh, waits: true, usage: usage})
 		slices.SortFunc(g.proxies, func(a, b *proxy) int { return cmp.Compare(a.id, b.id) })
-		g.taking = g.taking || !e.Fresh && g.now < g.started+takeOver
+		g.taking = g.taking || !e.Fresh && g.now < g.started+g.site.BareMost/2
 	case fleet.Left:
 		g.leave(e.Proxy)
 	case fleet.Heard:
@@ -267,7 +266,7 @@
 func (g *Governor) list(e fleet.List) {
 	if e.Scope == fleet.ListFailed {
 		g.askAt = g.now + g.askWait.Scale(0.5+g.chance.next())
-		g.askWait = min(askMost, 2*g.askWait)
+		g.askWait = min(g.site.AskWithin/2, 2*g.askWait)
 		return
 	}
 	g.askWait = askAgain
@@ -299,18 +298,12 @@
 // renew starts a server over: nothing is known of it, and unless it was up before we were it is fresh.
 func (g *Governor) renew(s *server, atStart bool) {
 	s.samples, s.long, s.short, s.quiet, s.capacity = nil, figures{busy: -1}, figures{busy: -1}, 0, 0
-	s.lastGood, s.halved, s.held, s.zeroUntil, s.hold = g.now+settle, false, quarter, 0, 0
+	s.lastGood, s.halved, s.held, s.zeroUntil, s.hold = g.now+interval, false, quarter, 0, 0
 	if atStart && !g.cold(s) {
 		s.held = 1
 	}
 	for t := range g.tables {
-		var others []float64
-		for _, o := range g.servers {
-			if o != s && g.open(o, t) {
-				others = append(others, o.weight[t])
-			}
-		}
-		s.weight[t] = cmp.Or(quantile(others, 0.5), 1)
+		s.weight[t] = 1
 		if atStart && g.site.ListWeight != fleet.WeightNone && s.Weight > 0 {
 			s.weight[t] = s.Weight
 		}
@@ -347,10 +340,8 @@
 	var warm []float64
 	for _, s := range g.ready {
 		s.rate = 0
-		for t := range g.tables {
-			if b := &g.tables[t]; b.total > 0 {
-				s.rate += b.demand * b.level * s.out[t] / b.total
-			}
+		for t, b := range g.tables {
+			s.rate += b.demand * b.level * s.out[t] / max(b.total, none)
 		}
 		s.long = s.figures(g.newest-longLook, len(g.site.Zones))
 		s.short = s.figures(g.newest-shortLook, len(g.site.Zones))
@@ -362,7 +353,7 @@
 			max(s.short.capacity/s.long.capacity, s.long.capacity/s.short.capacity) > shifted {
 			s.capacity = s.short.capacity
 		}
-		if s.capacity > 0 {
+		if s.capacity > 0 && !s.refuge {
 			load, capacity = load+s.rate, capacity+s.capacity
 			if !g.cold(s) {
 				warm = append(warm, s.capacity)
@@ -372,7 +363,7 @@
 	if capacity > 0 {
 		g.target = max(load/capacity, min(busyMost, slack*load/capacity))
 	}
-	g.usual, g.least = cmp.Or(quantile(warm, 0.5), g.usual), cmp.Or(quantile(warm, lowShare), g.least)
+	g.usual, g.least = cmp.Or(quantile(warm, 0.5), g.usual), cmp.Or(quantile(warm, quarter), g.least)
 	g.failing = failed / max(1, tries)
 }
 
@@ -409,34 +400,22 @@
 		}
 	}
 	for z := range byZone {
-		if byZone[z].span > 0 {
-			f.handled += rate(byZone[z : z+1])
-		}
+		f.handled += rate(byZone[z : z+1])
 	}
 	if told > 0 {
 		f.busy = max(busyLeast, busy/told)
 	}
-	if good >= enough {
-		f.latency = fleet.Second.Scale(latency / good)
-		if told > 0 {
-			f.capacity = f.handled / f.busy
-		}
+	if good >= enough { // with no busy share told there is no capacity either
+		f.latency, f.capacity = fleet.Second.Scale(latency/good), max(0, f.handled/f.busy)
 	}
 	return f
 }
 
-// late is the design's: past a factor of the best quiet latency. No server is to blame for waiting that its busy
-// share explains: saturation cuts that.
-func (s *server) late() bool {
-	waiting := 1 / max(busyLeast, 1-s.long.busy)
-	return s.quiet > 0 && s.long.latency > s.quiet.Scale(lateFactor*max(1, waiting))
-}
-
-// judge sets what health leaves each server of its weight. Where the whole fleet fails none is to blame.
+// judge sets what health leaves each server of its weight. Where the whole fleet fails none is to blame, and
+// none is late for waiting that its busy share explains: saturation cuts that.
 func (g *Governor) judge() {
-	zeroed, tries, failed := 0.0, 0.0, 0.0
+	zeroed := 0.0
 	for _, s := range g.ready {
-		tries, failed = tries+s.long.tries, failed+s.long.failed
 		if s.held == 0 {
 			zeroed++
 		}
@@ -446,8 +425,9 @@
 	missed := missedTurns * max(g.site.ReportEvery, fleet.Second.Scale(lines/max(1, g.site.ReportsPerS)))
 	for _, s := range g.ready {
 		unheard := g.newest - s.lastGood
-		silent := unheard > missed && s.rate*unheard.Seconds() > hangTries
-		sick := s.long.failed >= max(failLeast, s.long.tries*max(failShare, 2*failed/max(1, tries)))
+		silent := unheard > missed && s.rate*unheard.Seconds() > enough
+		sick := s.long.failed >= max(failLeast, s.long.tries*max(failShare, 2*g.failing))
+		late := s.quiet > 0 && s.long.latency > s.quiet.Scale(lateFactor*max(1, 1/max(busyLeast, 1-s.long.busy)))
 		switch {
 		case s.held > 0 && s.long.busy < busySick && (silent || sick):
 			s.hold = min(longestHold, max(interval, 2*s.hold))
@@ -460,9 +440,9 @@
 				s.Server, s.hold.Seconds(), silent, s.long.failed, s.long.tries)})
 			s.samples = s.samples[:0]
 		case s.held == 0 && g.now >= s.zeroUntil:
-			s.held, s.lastGood = quarter, g.now+settle
+			s.held, s.lastGood = quarter, g.now+interval
 		case s.held == 0:
-		case s.late():
+		case late:
 			if !s.halved && s.rate < s.capacity*g.target {
 				s.held, s.halved = max(quarter, s.held/2), true
 				g.orders = append(g.orders, fleet.Log{Text: fmt.Sprintf("server %d late: %.0f ms, best %.0f ms",
@@ -486,7 +466,7 @@
 	density, agreed := make([]float64, len(g.ready)), make([]float64, len(g.ready))
 	stay := func(s *server) float64 { return 1 + s.long.latency.Seconds()/interval.Seconds() }
 	for i, s := range g.ready {
-		if s.held > 0 {
+		if s.held > 0 && !s.refuge {
 			density[i], agreed[i] = s.rate*stay(s), cmp.Or(s.capacity, g.usual)*g.target*stay(s)
 		}
 	}
@@ -513,13 +493,11 @@
 			}
 		}
 		for range 3 { // receivers fill up, so what is left is spread again
-			receivers := 0.0
+			part := 0.0
 			for i := range g.ready {
-				if room(i) > none {
-					receivers++
-				}
+				part += math.Ceil(min(1, room(i)))
 			}
-			part := cut / max(1, receivers)
+			part = cut / max(1, part)
 			for i, s := range g.ready {
 				share := min(part, room(i))
 				s.weight[t] *= 1 + share/(begun(s)+1)
@@ -561,7 +539,7 @@
 		if s.held > 0 {
 			carry += min(1, s.held+quarter)
 		}
-		if s.held > 0 && s.short.busy >= 0 {
+		if s.held > 0 && s.short.busy >= 0 && !s.refuge {
 			handled, busy = handled+s.short.handled, busy+s.short.busy
 		}
 	}
@@ -570,24 +548,25 @@
 		class[b.class] += b.demand
 		demand += b.demand
 	}
-	if busy == 0 || demand < none {
+	if busy == 0 || handled == 0 || demand < none {
 		return
 	}
-	capacity := handled / busy * carry // visits a second at a busy share of 1, were all as these
-	over := demand - busyMost*capacity
+	load := demand / (handled / busy * carry) // busy share that would let all in
+	g.squeeze(load, class)
+	over := demand * max(0, 1-busyMost/load)
 	retry := fleet.RetryNever
-	if over <= 0 {
+	if over == 0 {
 		retry = fleet.RetryIfNeverRan
 	}
 	for _, c := range g.classes {
-		cut := max(0, min(over, class[c.id]*(1-levelFloor)))
+		cut := min(over, class[c.id]*(1-levelFloor))
 		over -= cut
 		for t := range g.tables {
 			b := &g.tables[t]
 			if b.class != c.id {
 				continue
 			}
-			b.retry = retry
+			b.retry, b.squeezed = retry, c.squeezed
 			if g.site.Admission != fleet.AdmitAll {
 				b.level = min(1-cut/max(class[c.id], none), b.level+easeBack)
 				b.amount = g.amount(b)
@@ -596,6 +575,27 @@
 	}
 }
 
+// squeeze is the paper's last resort, for sites whose proxies let in everything: beyond the fleet's capacity
+// classes of least value share a few servers, so that the others are handled on time.
+func (g *Governor) squeeze(load float64, class []float64) {
+	n, work, need, fits := float64(len(g.ready)), 0.0, 0.0, true
+	for _, c := range g.classes {
+		work += class[c.id] * c.work
+	}
+	for i := len(g.classes) - 1; i >= 0; i-- {
+		c := &g.classes[i]
+		part := class[c.id] * c.work / work * load / busyMost
+		if fits = fits && i > 0 && need+part < 1-1/n; fits {
+			need += part
+		}
+		c.squeezed = !fits
+	}
+	beyond := load > squeezeAt || g.refuge > 0 && load > busyMost
+	if g.refuge = 0; beyond && need > 0 && g.site.Admission == fleet.AdmitAll {
+		g.refuge = int(n - math.Ceil(need*n))
+	}
+}
+
 // amount gives a table's level in the site's unit: a share, or the rate at each proxy that lets in as much.
 func (g *Governor) amount(b *table) float64 {
 	if b.level >= 1 {
@@ -625,11 +625,17 @@
 // held at zero share the table. A cold server gets less than it surely can do, over all tables, also when its
 // neighbours have just died; alone in a table it gets nothing where its load could push it over.
 func (g *Governor) wish() {
+	left := g.refuge
+	for _, s := range g.ready {
+		if s.refuge = left > 0 && !g.cold(s); s.refuge {
+			left--
+		}
+	}
 	warm := make([]float64, len(g.tables))
 	for t := range g.tables {
 		b := &g.tables[t]
 		for _, s := range g.servers {
-			if s.want[t] = 0; g.open(s, t) {
+			if s.want[t] = 0; g.open(s, t) && (g.refuge == 0 || b.local || s.refuge == b.squeezed) {
 				s.want[t] = s.weight[t] * s.held
 			}
 			if !g.cold(s) {
@@ -694,12 +700,12 @@
 	// Lines change once an interval, the largest changes first; what the channel has no room for follows soon.
 	// A withdrawal takes its replacement along; cold servers and bare tables can't wait and need no room.
 	lines, urgent := g.changes(g.due || g.wrote || g.more)
-	room := (roomWeights*g.site.BacklogMost-g.waiting)/float64(max(1, len(g.proxies))) - g.site.MessageHead
+	fit := (room*g.site.BacklogMost-g.waiting)/float64(max(1, len(g.proxies))) - g.site.MessageHead
 	if !g.wrote && !g.mayWrite() {
-		room = 0
+		fit = 0
 	}
-	fit := min(len(lines), urgent+max(0, int(room)))
-	lines, g.more = lines[:fit], fit < len(lines)
+	some := min(len(lines), urgent+max(0, int(fit)))
+	lines, g.more = lines[:some], some < len(lines)
 	for _, l := range lines {
 		s := g.known[l.Server]
 		s.out[l.Table] = s.want[l.Table]
@@ -745,42 +751,36 @@
 // toAll gives an order that costs a line at every joined proxy.
 func (g *Governor) toAll(order fleet.Order) {
 	g.orders = append(g.orders, order)
-	for _, p := range g.proxies {
-		if g.waiting++; !g.wrote {
-			g.waiting += g.site.MessageHead
-			p.written = append(p.written, g.now)
-		}
+	lines := 1.0
+	if !g.wrote {
+		lines += g.site.MessageHead
 	}
+	g.waiting += lines * float64(len(g.proxies))
 	g.wrote = true
 }
 
 // mayWrite tells whether every proxy may be sent a message, with some kept back for urgent ones.
 func (g *Governor) mayWrite() bool {
-	for _, p := range g.proxies {
-		over := func(at fleet.Time) bool { return at <= g.now-g.site.MessagesOver }
-		p.written = slices.DeleteFunc(p.written, over)
-		if g.site.MessagesMost > 0 && len(p.written) >= max(1, g.site.MessagesMost-spareWrites) {
-			return false
-		}
-	}
-	return true
+	over := func(at fleet.Time) bool { return at <= g.now-g.site.MessagesOver }
+	g.written = slices.DeleteFunc(g.written, over)
+	return g.site.MessagesMost == 0 || len(g.written) < max(1, g.site.MessagesMost-spareWrites)
 }
 
 // join puts proxies on their tables, as many as the channel has room for. One that must wait for its table
 // has not heard of earlier withdrawals, so they go out again.
 func (g *Governor) join() {
-	again := false
+	again, bound := false, false
 	for _, p := range g.proxies {
 		if p.bound {
 			continue
 		}
 		lines := g.site.MessageHead + float64(len(g.tables)*(2+len(g.servers)))
-		if g.taking && !p.fresh || g.waiting+lines > roomJoins*g.site.BacklogMost {
+		if g.taking && !p.fresh || g.waiting+lines > room*g.site.BacklogMost {
 			again, p.waits = again || p.waits, false
 			continue
 		}
 		g.waiting += lines
-		p.bound, p.waits, p.written = true, false, append(p.written, g.now)
+		p.bound, p.waits, bound = true, false, true
 		for t, b := range g.tables {
 			if !b.local || b.zone == p.zone {
 				g.orders = append(g.orders, fleet.Bind{Proxy: p.id, Table: fleet.TableID(t), Classes: 1 << b.class})
@@ -792,4 +792,7 @@
 			g.toAll(fleet.Withdraw{Server: s.Server, Out: true})
 		}
 	}
+	if bound || g.wrote {
+		g.written = append(g.written, g.now)
+	}
 }
