--- a/logic/logic.go
+++ b/logic/logic.go
@@ -3,9 +3,6 @@
 // A host makes a Governor with New(site, seed) and calls Step(now, events) for every batch of events; Step
 // gives the orders to carry out at that time, in their order. Site, events and orders live in package fleet.
 // The module reads nothing else: no clock, no file, no network; the same events give the same orders.
-//
-// Step observes samples, judges servers once an interval, works out what is wanted (tables, withdrawals,
-// levels, joins), and reconcile alone works out the difference to what is out and emits it.
 package logic
 
 import (
@@ -50,6 +47,7 @@
 	room        = 0.5               // part of the backlog for joins and ordinary changes; urgent ones take more
 	spareWrites = 6                 // messages to a proxy kept back for urgent orders
 	askAgain    = fleet.Second / 2  // first wait before the list is asked again; doubles, with jitter
+	endless     = 99                // failures in a row that stand for a proxy that avoids no server
 	none        = 1e-9              // a rate or weight below this is none
 )
 
@@ -312,6 +310,14 @@
 
 func (g *Governor) cold(s *server) bool { return s.Started > 0 && g.now < s.Started+g.site.ColdFor }
 
+// can gives the part of its capacity that a server surely has.
+func (g *Governor) can(s *server) float64 {
+	if !g.cold(s) {
+		return 1
+	}
+	return g.site.ColdFrom + (1-g.site.ColdFrom)*max(0, (g.now-s.Started).Seconds()/g.site.ColdFor.Seconds())
+}
+
 // whole tells whether a server carries its full part.
 func (g *Governor) whole(s *server) bool { return s.held == 1 && !g.cold(s) }
 
@@ -330,10 +336,8 @@
 				b.demand += rate(p.usage[b.class])
 			}
 		}
-		for _, s := range g.servers {
-			if !s.withdrawn {
-				b.total += s.out[t]
-			}
+		for _, s := range g.ready {
+			b.total += s.out[t]
 		}
 	}
 	load, capacity, tries, failed := 0.0, 0.0, 0.0, 0.0
@@ -405,7 +409,7 @@
 	if told > 0 {
 		f.busy = max(busyLeast, busy/told)
 	}
-	if good >= enough { // with no busy share told there is no capacity either
+	if good >= enough {
 		f.latency, f.capacity = fleet.Second.Scale(latency/good), max(0, f.handled/f.busy)
 	}
 	return f
@@ -537,9 +541,9 @@
 	handled, busy, carry, demand := 0.0, 0.0, 0.0, 0.0
 	for _, s := range g.ready {
 		if s.held > 0 {
-			carry += min(1, s.held+quarter)
+			carry += min(1, s.held+quarter) * g.can(s)
 		}
-		if s.held > 0 && s.short.busy >= 0 && !s.refuge {
+		if s.held > 0 && !g.cold(s) && s.short.busy >= 0 && !s.refuge {
 			handled, busy = handled+s.short.handled, busy+s.short.busy
 		}
 	}
@@ -656,11 +660,10 @@
 		if !g.cold(s) || g.usual == 0 {
 			continue
 		}
-		grown := max(0, (g.now-s.Started).Seconds()/g.site.ColdFor.Seconds())
-		// Where tries fail, proxies keep away from the servers that fail them and crowd on those that answer,
-		// whatever their weights: a cold one must be out of the tables by then.
-		crowd := max(0, 1-g.failing/failShare)
-		can, load := (g.site.ColdFrom+(1-g.site.ColdFrom)*grown)*g.least*crowd, none
+		// A proxy keeps away from a server that failed it several times in a row: where most tries fail all
+		// crowd on the few that answer, whatever their weights, and a cold one must be out of the tables by then.
+		crowd := max(0, 1-math.Pow(g.failing, float64(cmp.Or(g.site.OutlierAfter, endless)))/failShare)
+		can, load := g.can(s)*g.least*crowd, none
 		for t, b := range g.tables {
 			load += b.demand * s.want[t] / max(b.wantedTotal, none)
 		}
@@ -751,11 +754,9 @@
 // toAll gives an order that costs a line at every joined proxy.
 func (g *Governor) toAll(order fleet.Order) {
 	g.orders = append(g.orders, order)
-	lines := 1.0
-	if !g.wrote {
-		lines += g.site.MessageHead
+	if g.waiting += float64(len(g.proxies)); !g.wrote {
+		g.waiting += g.site.MessageHead * float64(len(g.proxies))
 	}
-	g.waiting += lines * float64(len(g.proxies))
 	g.wrote = true
 }
 
