--- a/logic/logic.go
+++ b/logic/logic.go
@@ -139,7 +139,6 @@
 // chance is a multiply-with-carry generator.
 type chance struct{ x, carry uint32 }
 
-// next gives a number from 0 up to 1.
 func (c *chance) next() float64 {
 	t := 4294957665*uint64(c.x) + uint64(c.carry)
 	c.x, c.carry = uint32(t), uint32(t>>32)
@@ -209,7 +208,6 @@
 	return g.orders
 }
 
-// observe takes in one event.
 func (g *Governor) observe(event fleet.Event) {
 	switch e := event.(type) {
 	case fleet.List:
@@ -376,7 +374,6 @@
 	return append(of, 0)[int(float64(len(of))*share)]
 }
 
-// rate gives events a second over some samples.
 func rate(samples []sample) float64 {
 	n, span := 0.0, fleet.Time(0)
 	for _, m := range samples {
@@ -543,8 +540,12 @@
 		if s.held > 0 {
 			carry += min(1, s.held+quarter) * g.can(s)
 		}
-		if s.held > 0 && !g.cold(s) && s.short.busy >= 0 && !s.refuge {
-			handled, busy = handled+s.short.handled, busy+s.short.busy
+		share := s.short.busy
+		if share < 0 && s.short.tries > 0 && g.failing > failShare {
+			share = 1 // a fleet too full to answer visits answers no probes either
+		}
+		if s.held > 0 && !g.cold(s) && share >= 0 && !s.refuge {
+			handled, busy = handled+s.short.handled, busy+share
 		}
 	}
 	class := make([]float64, len(g.classes))
@@ -760,7 +761,7 @@
 	g.wrote = true
 }
 
-// mayWrite tells whether every proxy may be sent a message, with some kept back for urgent ones.
+// mayWrite keeps some messages to each proxy back for urgent orders.
 func (g *Governor) mayWrite() bool {
 	over := func(at fleet.Time) bool { return at <= g.now-g.site.MessagesOver }
 	g.written = slices.DeleteFunc(g.written, over)
