--- a/logic/logic.go
+++ b/logic/logic.go
@@ -316,7 +316,6 @@
 	return g.site.ColdFrom + (1-g.site.ColdFrom)*max(0, (g.now-s.Started).Seconds()/g.site.ColdFor.Seconds())
 }
 
-// whole tells whether a server carries its full part.
 func (g *Governor) whole(s *server) bool { return s.held == 1 && !g.cold(s) }
 
 // open tells whether a server may stand in a table.
@@ -535,19 +534,20 @@
 // admit lets in what the fleet can handle on time, cutting visits of least value first. Beyond that further
 // tries feed the overload, so they are off while the fleet is strained.
 func (g *Governor) admit() {
-	handled, busy, carry, demand := 0.0, 0.0, 0.0, 0.0
+	handled, busy, unseen, untold, carry, demand := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0
 	for _, s := range g.ready {
 		if s.held > 0 {
 			carry += min(1, s.held+quarter) * g.can(s)
 		}
-		share := s.short.busy
-		if share < 0 && s.short.tries > 0 && g.failing > failShare {
-			share = 1 // a fleet too full to answer visits answers no probes either
-		}
-		if s.held > 0 && !g.cold(s) && share >= 0 && !s.refuge {
-			handled, busy = handled+s.short.handled, busy+share
+		if carries := s.held > 0 && !g.cold(s) && !s.refuge; carries && s.short.busy >= 0 {
+			handled, busy = handled+s.short.handled, busy+s.short.busy
+		} else if carries {
+			unseen, untold = unseen+s.short.handled, untold+1
 		}
 	}
+	if busy == 0 && g.failing > failShare {
+		handled, busy = unseen, untold // a fleet too full to answer visits answers no probes either
+	}
 	class := make([]float64, len(g.classes))
 	for _, b := range g.tables {
 		class[b.class] += b.demand
