--- a/logic/logic.go
+++ b/logic/logic.go
@@ -79,7 +79,6 @@
 	busy        float64 // negative: not told
 }
 
-// figures are worked out from the samples of a while.
 type figures struct {
 	tries, failed     float64
 	latency           fleet.Time // mean of the good ones
@@ -113,27 +112,27 @@
 
 // Governor decides for the proxies that are joined to it.
 type Governor struct {
-	site                     fleet.Site
-	chance                   chance
-	classes                  []visitClass
-	tables                   []table
-	known                    map[fleet.ServerID]*server
-	servers, ready           []*server    // by id: all known, those listed as ready
-	proxies                  []*proxy     // joined, by id
-	busyAt                   int          // position of the busy share in load reports, or -1
-	now, started             fleet.Time   // of this step, of the first
-	judged, admitted, newest fleet.Time   // last judgement, last levels; arrival of the newest report of tries
-	due, taking              bool         // an interval ends now; proxies hold former tables: watch first
-	target                   float64      // busy share that the agreed densities are made for
-	refuge                   int          // servers that take the squeezed classes, 0: none squeezed
-	usual, least             float64      // capacity of a warm server: the median, the low quartile
-	failing                  float64      // failed share of all tries in the short look
-	alarmAt, askAt           fleet.Time   // next alarm; when to ask for the list, 0: not now
-	askWait, waitingAt       fleet.Time   // before the list is asked again; when waiting was worked out
-	waiting                  float64      // lines in the channel, as we count them
-	wrote, more              bool         // this reply has a message to all; lines wait for room in the channel
-	written                  []fleet.Time // replies that wrote to any proxy, as far back as messages are counted
-	orders                   []fleet.Order
+	site                       fleet.Site
+	chance                     chance
+	classes                    []visitClass
+	tables                     []table
+	known                      map[fleet.ServerID]*server
+	servers, ready             []*server    // by id: all known, those listed as ready
+	proxies                    []*proxy     // joined, by id
+	busyAt                     int          // position of the busy share in load reports, or -1
+	now, started               fleet.Time   // of this step, of the first
+	judged, admitted, newest   fleet.Time   // last judgement, last levels; arrival of the newest report of tries
+	due, taking                bool         // an interval ends now; proxies hold former tables: watch first
+	target                     float64      // busy share that the agreed densities are made for
+	refuge                     int          // servers that take the squeezed classes, 0: none squeezed
+	usual, least               float64      // capacity of a warm server: the median, the low quartile
+	failing                    float64      // failed share of all tries in the short look
+	alarmAt, askAt, squeezeEnd fleet.Time   // next alarm; when to ask for the list, 0: no; end of a squeeze
+	askWait, waitingAt         fleet.Time   // before the list is asked again; when waiting was worked out
+	waiting                    float64      // lines in the channel, as we count them
+	wrote, more                bool         // this reply has a message to all; lines wait for room
+	written                    []fleet.Time // replies that wrote to any proxy, while messages count
+	orders                     []fleet.Order
 }
 
 // chance is a multiply-with-carry generator.
@@ -318,7 +317,6 @@
 
 func (g *Governor) whole(s *server) bool { return s.held == 1 && !g.cold(s) }
 
-// open tells whether a server may stand in a table.
 func (g *Governor) open(s *server, t int) bool {
 	return s.State == fleet.Ready && (!g.tables[t].local || s.Zone == g.tables[t].zone)
 }
@@ -583,6 +581,9 @@
 // squeeze is the paper's last resort, for sites whose proxies let in everything: beyond the fleet's capacity
 // classes of least value share a few servers, so that the others are handled on time.
 func (g *Governor) squeeze(load float64, class []float64) {
+	if g.now < g.squeezeEnd { // the others' lighter mix tells too little of the load to end it
+		return
+	}
 	n, work, need, fits := float64(len(g.ready)), 0.0, 0.0, true
 	for _, c := range g.classes {
 		work += class[c.id] * c.work
@@ -595,9 +596,8 @@
 		}
 		c.squeezed = !fits
 	}
-	beyond := load > squeezeAt || g.refuge > 0 && load > busyMost
-	if g.refuge = 0; beyond && need > 0 && g.site.Admission == fleet.AdmitAll {
-		g.refuge = int(n - math.Ceil(need*n))
+	if g.refuge = 0; load > squeezeAt && need > 0 && g.site.Admission == fleet.AdmitAll {
+		g.refuge, g.squeezeEnd = int(n-math.Ceil(need*n)), g.now+longestHold
 	}
 }
 
