Bound asking and watching on sites that state odd figures

Without a stated time to ask within, a failed call was repeated at every heartbeat; and where proxies may be bare for long, a restarted governor would have watched as long as half of that.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -186,7 +186,7 @@
 		}
 	}
 	// A proxy's former table may be down to withdrawn lines, so the watch ends well before that breaks a rule.
-	watched := g.taking && now >= g.started+g.site.BareMost/2
+	watched := g.taking && now >= g.started+min(2*interval, g.site.BareMost/2)
 	g.due = now >= g.judged+interval || watched
 	if g.due || now >= g.admitted+admitEvery {
 		g.admitted = now
@@ -216,7 +216,7 @@
 		usage := make([][]sample, len(g.classes))
 		g.proxies = append(g.proxies, &proxy{id: e.Proxy, zone: e.Zone, fresh: e.Fresh, waits: true, usage: usage})
 		slices.SortFunc(g.proxies, func(a, b *proxy) int { return cmp.Compare(a.id, b.id) })
-		g.taking = g.taking || !e.Fresh && g.now < g.started+g.site.BareMost/2
+		g.taking = g.taking || !e.Fresh && g.now < g.started+min(2*interval, g.site.BareMost/2)
 	case fleet.Left:
 		g.leave(e.Proxy)
 	case fleet.Heard:
@@ -261,7 +261,7 @@
 func (g *Governor) list(e fleet.List) {
 	if e.Scope == fleet.ListFailed {
 		g.askAt = g.now + g.askWait.Scale(0.5+g.chance.next())
-		g.askWait = min(g.site.AskWithin/2, 2*g.askWait)
+		g.askWait = min(max(askAgain, g.site.AskWithin/2), 2*g.askWait)
 		return
 	}
 	g.askWait = askAgain
