Fit joins and tables into the channel of a large fleet

Cause: with 200 to 900 proxies and 30 to 660 servers a table a class for each proxy takes the channel tens of seconds, normalising made every line a change, and three copies of the same lines went out. Change: classes whose lines are alike share one table; a factor common to a table is no change; proxies with most visits join first, by half of the ordinary room; the first tables wait for the first reports and go by measured capacity; what goes to all goes once in a gap; levels go to all tables at once. Thin reports: looks last three turns of reports, and a server with few tries counts as average of its kind. A server that fails a part of its tries is cut off only while the others can carry its part. Where a server has fewer connections than there are proxies, servers of the proxy's zone come first (a twentieth for the others). Squeeze from 1.3 of the capacity instead of 1.1. Removed: untold servers counted as full, short capacity where it shifted, former tables' tries as first weights (capacity serves as well).

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,8 +1,7 @@
-// Package logic decides which servers the proxies of a fleet send their visits to.
-//
-// A host makes a Governor with New(site, seed) and calls Step(now, events) for every batch of events; Step
-// gives the orders to carry out at that time, in their order. Site, events and orders live in package fleet.
-// The module reads nothing else: no clock, no file, no network; the same events give the same orders.
+// Package logic decides which servers the proxies of a fleet send their visits to. A host makes a Governor by
+// New(site, seed) and calls Step(now, events) for every batch of events; Step gives the orders to carry out, in
+// their order. Site, events and orders live in package fleet. The module reads nothing else: no clock, no file,
+// no network; the same events give the same orders.
 package logic
 
 import (
@@ -15,124 +14,112 @@
 )
 
 const (
-	interval    = 2 * fleet.Second  // the design's shortest measurement interval; weights change once in it
-	admitEvery  = fleet.Second      // levels follow demand at the pace of reports, not of weights
-	heartbeat   = fleet.Second / 4  // alarm pace: an eighth of the interval, for joins and cold guards
-	longLook    = 10 * fleet.Second // five intervals: some 30 tries a server, which brings chance to a fifth
-	shortLook   = 3 * fleet.Second  // a turn of reports and their delay: for what the whole fleet does
-	keepSamples = 128               // of a server: over two reports a second and zone within longLook
-	keepUsage   = 3                 // of a proxy and class: a few seconds of demand, as fresh as they come
-	slack       = 1.1               // target factor: asked density may pass the fleet's mean by a tenth
-	squeezeAt   = 1.1               // part of its capacity asked of a fleet past which classes are squeezed
-	busyMost    = 0.74              // busy share past which chance fills some servers and visits wait long
-	busySick    = 0.9               // a server this busy is overloaded, so it is cut and not zeroed
-	busyLeast   = 0.05              // a busy share below this tells nothing of capacity
-	shifted     = 1.5               // a capacity that changed by this factor is no chance: go by the short look
-	lateFactor  = 1.5               // the design's bound of late, over the best quiet latency
-	quarter     = 0.25              // weight of fresh, returning, lowest halved servers; returned an interval
-	zeroedMost  = 1.0 / 3           // the design's most servers at zero
-	failShare   = 0.25              // failed share that tells a sick server from chance errors
-	failLeast   = 3                 // failures: one or two are never a verdict
-	enough      = 8                 // tries that make a mean worth using; as many go unheard by chance 1 in 3000
-	missedTurns = 3                 // turns of reporting to miss before silence counts
-	longestHold = 16 * fleet.Second // doubling time at zero ends here, after 8 intervals
-	coldSafe    = 0.8               // part of what a cold server surely can do that it is sent
-	coldAlone   = 0.5               // part of the load that pushes it over that it may get with no other open
-	leastWeight = 0.01              // of the largest: keeps a line that can grow again
-	leastChange = 0.03              // relative change of a line or level worth sending
-	easeBack    = 0.1               // most that a level rises at a time: the let-in shall not all come at once
-	levelFloor  = 0.1               // part of its visits that even the least valuable class keeps
-	rateOfAll   = 1e6               // visits a second at a proxy that stand for all
-	pace        = 0.4               // part of the stated channel pace to count on: it may be slow for a while
-	room        = 0.5               // part of the backlog for joins and ordinary changes; urgent ones take more
-	spareWrites = 6                 // messages to a proxy kept back for urgent orders
-	askAgain    = fleet.Second / 2  // first wait before the list is asked again; doubles, with jitter
-	endless     = 99                // failures in a row that stand for a proxy that avoids no server
-	none        = 1e-9              // a rate or weight below this is none
+	interval    = 2 * fleet.Second     // the design's shortest measurement interval; weights change once in it
+	heartbeat   = fleet.Second / 4     // alarm pace: an eighth of the interval, for joins and cold guards
+	writeGap    = 2 * fleet.Second / 5 // between messages to all: gathers what comes together
+	longLook    = 10 * fleet.Second    // five intervals: at some 30 tries chance is a fifth
+	shortLook   = 3 * fleet.Second     // a turn of reports and their delay: for what the whole fleet does
+	few         = 3                    // reports or failures that make a verdict: fewer are chance
+	enough      = 8                    // tries that make a mean; as many go unheard by chance 1 in 3000
+	keepSamples = 128                  // of a server: over two reports a second and zone within longLook
+	slack       = 1.1                  // target factor: asked density may pass the fleet's mean by a tenth
+	squeezeAt   = 1.3                  // part of its capacity asked of a fleet past which classes are squeezed
+	busyMost    = 0.74                 // busy share past which chance fills some servers
+	busySick    = 0.9                  // a server this busy is overloaded, so it is cut and not zeroed
+	busyLeast   = 0.05                 // a busy share below this tells nothing of capacity
+	lateFactor  = 1.5                  // the design's bound of late, over the best quiet latency
+	quarter     = 0.25                 // weight of fresh, returning, lowest halved servers; failed share of sick
+	third       = 1.0 / 3              // the design's most servers at zero; who handles less is no help
+	longestHold = 16 * fleet.Second    // doubling time at zero ends here, after 8 intervals
+	coldSafe    = 0.8                  // part of what a cold server surely can do that it is sent
+	leastWeight = 0.01                 // of the largest: keeps a line that can grow again
+	leastChange = 0.03                 // relative change of a line or level worth sending
+	tenth       = 0.1                  // of its visits each class keeps; a level rises by so much at a time
+	huge        = 1e6                  // visits a second at a proxy that stand for all; most lines may drift
+	pace        = 0.5                  // part of the stated channel pace to count on: it may be slow for a while
+	room        = 0.5                  // part of the backlog, and of a lone cold server's limit, to use
+	spareWrites = 5                    // messages to a proxy kept back for its joins
+	farPart     = 0.05                 // first weight of servers in other zones where connections are short
+	none        = 1e-9                 // a rate or weight below this is none
 )
 
-// visitClass is what differs by class, in rows from the least value for its work up.
+// visitClass is what differs by class. Classes of a group share tables, one a zone: 0 is for all whose lines
+// are alike, 1 for the squeezed, which go to the refuge only; a class that stays in its zone has its own.
 type visitClass struct {
-	id          fleet.ClassID
-	value, work float64 // value for its work; expected time stands for work
-	squeezed    bool
+	value, work   float64 // value for its work; expected time stands for work
+	group         int
+	demand, level float64     // visits a second that come; part of them to let in
+	out           fleet.Level // as ordered
 }
 
-// table is one shared table: of a class, and of one zone where the class stays local.
 type table struct {
-	class              fleet.ClassID
-	zone               fleet.ZoneID
-	local, squeezed    bool    // squeezed: goes to the refuge only
-	demand             float64 // visits a second that come to the proxies on it
-	level              float64 // part of them to let in
-	amount, amountOut  float64 // the same in the site's unit: wanted, ordered
-	retry, retryOut    fleet.Retry
-	total, wantedTotal float64 // of the lines ordered and not withdrawn; of the lines wanted
+	group               int
+	zone                fleet.ZoneID
+	classes             fleet.ClassSet // that go by it
+	users, asked        float64        // proxies on it; visits a second that its classes let in
+	total, warm, wanted float64        // of the lines ordered; of those wanted of warm servers, of all
 }
 
 // sample is one report: of what ended at a server, of its load, or of what came to a proxy.
 type sample struct {
-	at, span    fleet.Time
-	zone        fleet.ZoneID
-	tries, good float64
-	latency     fleet.Time
-	busy        float64 // negative: not told
+	at, span, latency fleet.Time
+	zone              fleet.ZoneID
+	tries, good, busy float64 // busy negative: not told
 }
 
 type figures struct {
-	tries, failed     float64
-	latency           fleet.Time // mean of the good ones
-	busy              float64    // mean, negative: not told
-	handled, capacity float64    // good tries a second; the same at a busy share of 1, 0: not known
+	tries, good, busy float64 // busy: mean, negative: not told
+	latency           fleet.Time
+	handled, capacity float64 // good tries a second; the same at a busy share of 1, 0: not known
 }
 
 type server struct {
 	fleet.Entry
-	samples           []sample
-	long, short       figures
-	quiet             fleet.Time // best latency seen
-	lastGood          fleet.Time
-	held              float64    // part of its weight that health leaves it, 0 to 1
-	zeroUntil, hold   fleet.Time // end of its time at zero, and how long that is
-	capacity          float64    // tries a second at a busy share of 1, ours only; 0: not known
-	rate              float64    // tries a second that we send, by demand and table share
-	weight, want, out []float64  // by table: the mechanism's, wanted out, ordered
-	listed, halved    bool       // is in the list being read; was halved since it was last on time
-	refuge            bool       // takes the squeezed classes, and only those
-	withdrawn         bool       // ordered
+	samples                   []sample
+	long, short               figures
+	quiet, lastGood, told     fleet.Time // best latency seen; last good answer; when it was last withdrawn
+	zeroUntil, hold           fleet.Time // end of its time at zero, and how long that is
+	held                      float64    // part of its weight that health leaves it, 0 to 1
+	capacity, rate            float64    // tries a second, ours only: at a busy share of 1; that we send
+	weight, want, out         []float64  // by table: the mechanism's, wanted out, ordered
+	halved, refuge, withdrawn bool       // since it was last on time; takes squeezed classes only; ordered
 }
 
 type proxy struct {
-	id           fleet.ProxyID
-	zone         fleet.ZoneID
-	fresh, bound bool       // holds standing tables only; is on ours
-	waits        bool       // has not heard of earlier withdrawals
-	usage        [][]sample // by class
+	id     fleet.ProxyID
+	zone   fleet.ZoneID
+	usual  float64    // visits a second, as told when it joined
+	on     []int      // by class: its table of ours, -1: none yet
+	astray bool       // is not on the tables it should be on
+	usage  [][]sample // by class
 }
 
 // Governor decides for the proxies that are joined to it.
 type Governor struct {
-	site                       fleet.Site
-	chance                     chance
-	classes                    []visitClass
-	tables                     []table
-	known                      map[fleet.ServerID]*server
-	servers, ready             []*server    // by id: all known, those listed as ready
-	proxies                    []*proxy     // joined, by id
-	busyAt                     int          // position of the busy share in load reports, or -1
-	now, started               fleet.Time   // of this step, of the first
-	judged, admitted, newest   fleet.Time   // last judgement, last levels; arrival of the newest report of tries
-	due, taking                bool         // an interval ends now; proxies hold former tables: watch first
-	target                     float64      // busy share that the agreed densities are made for
-	refuge                     int          // servers that take the squeezed classes, 0: none squeezed
-	usual, least               float64      // capacity of a warm server: the median, the low quartile
-	failing                    float64      // failed share of all tries in the short look
-	alarmAt, askAt, squeezeEnd fleet.Time   // next alarm; when to ask for the list, 0: no; end of a squeeze
-	askWait, waitingAt         fleet.Time   // before the list is asked again; when waiting was worked out
-	waiting                    float64      // lines in the channel, as we count them
-	wrote, more                bool         // this reply has a message to all; lines wait for room
-	written                    []fleet.Time // replies that wrote to any proxy, while messages count
-	orders                     []fleet.Order
+	site                     fleet.Site
+	chance                   chance
+	classes                  []visitClass
+	cheap                    []int // the classes, from the least value for its work up
+	tables                   []table
+	known                    map[fleet.ServerID]*server
+	joined                   map[fleet.ProxyID]*proxy
+	servers, ready           []*server  // by id: all known, those listed as ready
+	proxies                  []*proxy   // joined, by id
+	home                     []bool     // by zone: has joined proxies
+	busyAt                   int        // place of the busy share in load reports, or -1
+	near                     bool       // a server has fewer connections than there are proxies: near ones first
+	due, watching            bool       // an interval ends; no tables are laid yet
+	now, started, turn       fleet.Time // of this step, of the first; of the rationed reports
+	judged, admitted, newest fleet.Time // last judgement, last levels; newest report of tries
+	askAt, askWait           fleet.Time // when to ask for the list, 0: no; wait before it is asked again
+	wroteAt, pieceAt         fleet.Time // last message to all; when ordinary lines may go, 0: none wait
+	alarmAt, squeezeEnd      fleet.Time
+	waitingAt                fleet.Time // when waiting, the lines in the channel, was worked out
+	target, load             float64    // busy share that agreed densities are made for; the fleet's mean
+	usual, least, failing    float64    // capacity of a warm server: median, low quartile; failed share of late
+	waiting                  float64
+	retry                    fleet.Retry
+	orders                   []fleet.Order
 }
 
 // chance is a multiply-with-carry generator.
@@ -147,23 +134,24 @@
 // New makes a governor for a site.
 func New(site fleet.Site, seed uint64) *Governor {
 	g := &Governor{
-		site: site, chance: chance{uint32(seed) | 1, uint32(seed>>33) | 1}, askWait: askAgain,
-		known:  make(map[fleet.ServerID]*server),
-		busyAt: slices.Index(site.LoadFields, fleet.FieldBusy), target: busyMost, started: -1,
+		site: site, chance: chance{uint32(seed) | 1, uint32(seed>>33) | 1}, askWait: 2 * heartbeat, started: -1,
+		known: map[fleet.ServerID]*server{}, joined: map[fleet.ProxyID]*proxy{}, watching: true, target: busyMost,
+		busyAt: slices.Index(site.LoadFields, fleet.FieldBusy),
+		near:   site.ConnLeast > 0 && site.ConnLeast < float64(site.Proxies),
+	}
+	for t := range (2 + len(site.Classes)) * len(site.Zones) {
+		g.tables = append(g.tables, table{group: t / len(site.Zones), zone: fleet.ZoneID(t % len(site.Zones))})
 	}
 	for i, c := range site.Classes {
 		work := max(none, c.Expected.Seconds())
-		g.classes = append(g.classes, visitClass{id: fleet.ClassID(i), value: c.Value / work, work: work})
-		for z := range site.Zones {
-			if z == 0 || c.StaysLocal {
-				g.tables = append(g.tables, table{
-					class: fleet.ClassID(i), zone: fleet.ZoneID(z), local: c.StaysLocal,
-					level: 1, amount: rateOfAll, retry: fleet.RetryIfNeverRan,
-				})
-			}
+		row := visitClass{value: c.Value / work, work: work, level: 1}
+		if row.out = (fleet.Level{Amount: huge, Retry: site.RetryDefault}); c.StaysLocal {
+			row.group = 2 + i
 		}
+		g.cheap, g.classes = append(g.cheap, i), append(g.classes, row)
 	}
-	slices.SortStableFunc(g.classes, func(a, b visitClass) int { return cmp.Compare(a.value, b.value) })
+	by := func(a, b int) int { return cmp.Compare(g.classes[a].value, g.classes[b].value) }
+	slices.SortStableFunc(g.cheap, by)
 	return g
 }
 
@@ -171,7 +159,7 @@
 func (g *Governor) Step(now fleet.Time, events []fleet.Event) []fleet.Order {
 	g.now, g.orders = now, g.orders[:0]
 	if g.started < 0 {
-		g.started, g.judged, g.waitingAt = now, now, now
+		g.started, g.judged, g.waitingAt, g.wroteAt = now, now, now, now-interval
 		if g.site.ListOnRequest {
 			g.askAt = now
 		}
@@ -179,29 +167,35 @@
 	for _, e := range events {
 		g.observe(e)
 	}
-	g.ready = g.ready[:0]
-	for _, s := range g.servers {
-		if s.State == fleet.Ready {
-			g.ready = append(g.ready, s)
-		}
-	}
-	// A proxy's former table may be down to withdrawn lines, so the watch ends well before that breaks a rule.
-	watched := g.taking && now >= g.started+min(2*interval, g.site.BareMost/2)
+	// A former table may be down to withdrawn lines, so the watch ends well before that breaks a rule.
+	watched := g.watching && (now >= g.started+min(2*interval, g.site.BareMost/2) ||
+		g.usual > 0 && now >= g.started+interval)
 	g.due = now >= g.judged+interval || watched
-	if g.due || now >= g.admitted+admitEvery {
+	second := g.due || now >= g.admitted+interval/2 // levels follow demand at the pace of reports
+	if !second && now < g.alarmAt {
+		return g.orders
+	}
+	g.count()
+	if second {
 		g.admitted = now
 		g.measure()
 		g.admit()
 	}
-	if g.due && watched {
-		g.adopt()
-	} else if g.due && !g.taking && g.newest > g.judged { // with nothing new to go by, what is out stays
+	if watched { // the first tables go by what servers were measured to carry
+		g.watching = false
+		for _, s := range g.ready {
+			for t := range s.weight {
+				s.weight[t] *= cmp.Or(s.capacity, 1) / cmp.Or(g.usual, 1)
+			}
+		}
+	} else if g.due && g.usual > 0 && g.newest > g.judged { // with nothing new to go by, what is out stays
 		g.judge()
 		g.balance()
 	}
 	if g.due {
-		g.judged = now
+		g.judged, g.pieceAt = now, now
 	}
+	g.count()
 	g.wish()
 	g.reconcile()
 	return g.orders
@@ -213,39 +207,40 @@
 		g.list(e)
 	case fleet.Joined:
 		g.leave(e.Proxy)
-		usage := make([][]sample, len(g.classes))
-		g.proxies = append(g.proxies, &proxy{id: e.Proxy, zone: e.Zone, fresh: e.Fresh, waits: true, usage: usage})
+		n := len(g.classes)
+		p := &proxy{id: e.Proxy, zone: min(e.Zone, fleet.ZoneID(len(g.site.Zones)-1)), usual: max(none, e.Weight),
+			on: slices.Repeat([]int{-1}, n), usage: make([][]sample, n)}
+		g.joined[p.id], g.proxies, g.alarmAt = p, append(g.proxies, p), g.now
 		slices.SortFunc(g.proxies, func(a, b *proxy) int { return cmp.Compare(a.id, b.id) })
-		g.taking = g.taking || !e.Fresh && g.now < g.started+min(2*interval, g.site.BareMost/2)
+		for _, s := range g.servers { // one that must wait for its table has not heard of these
+			s.withdrawn = s.withdrawn && g.now > s.told+longestHold
+		}
 	case fleet.Left:
 		g.leave(e.Proxy)
 	case fleet.Heard:
-		if s := g.known[e.Server]; s != nil {
+		if s := g.known[e.Server]; s != nil && int(e.Zone) < len(g.site.Zones) {
 			good := float64(e.Tries) - float64(e.Failed)
-			s.add(sample{g.now, e.Span, e.Zone, float64(e.Tries), good, e.Latency, g.busyIn(e.Load)})
-			g.newest = g.now
-			if good > 0 {
+			s.samples = append(s.samples[max(0, len(s.samples)-keepSamples):],
+				sample{g.now, e.Span, e.Latency, e.Zone, float64(e.Tries), good, g.busyIn(e.Load)})
+			if g.newest = g.now; good > 0 {
 				s.lastGood = g.now
 			}
 		}
 	case fleet.Probed:
 		if s := g.known[e.Server]; s != nil && e.Outcome == fleet.Answered {
-			s.add(sample{at: g.now, busy: g.busyIn(e.Load)})
+			s.samples = append(s.samples, sample{at: g.now, busy: g.busyIn(e.Load)})
 		}
 	case fleet.Usage:
-		for _, p := range g.proxies {
-			if p.id == e.Proxy && int(e.Class) < len(p.usage) {
-				u := append(p.usage[e.Class], sample{at: g.now, span: e.Span, tries: float64(e.Visits)})
-				p.usage[e.Class] = u[max(0, len(u)-keepUsage):]
+		if p := g.joined[e.Proxy]; p != nil && int(e.Class) < len(p.usage) {
+			u := p.usage[e.Class]
+			if u = u[max(0, len(u)+1-few):]; e.Span > few*g.site.ReportEvery {
+				u = nil
 			}
+			p.usage[e.Class] = append(u, sample{at: g.now, span: e.Span, tries: float64(e.Visits)})
 		}
 	}
 }
 
-func (s *server) add(m sample) {
-	s.samples = append(s.samples[max(0, len(s.samples)-keepSamples):], m)
-}
-
 func (g *Governor) busyIn(load []float32) float64 {
 	if g.busyAt < 0 || g.busyAt >= len(load) {
 		return -1
@@ -254,6 +249,7 @@
 }
 
 func (g *Governor) leave(id fleet.ProxyID) {
+	delete(g.joined, id)
 	g.proxies = slices.DeleteFunc(g.proxies, func(p *proxy) bool { return p.id == id })
 }
 
@@ -261,14 +257,11 @@
 func (g *Governor) list(e fleet.List) {
 	if e.Scope == fleet.ListFailed {
 		g.askAt = g.now + g.askWait.Scale(0.5+g.chance.next())
-		g.askWait = min(max(askAgain, g.site.AskWithin/2), 2*g.askWait)
+		g.askWait = min(max(2*heartbeat, g.site.AskWithin/2), 2*g.askWait)
 		return
 	}
-	g.askWait = askAgain
-	for _, s := range g.servers {
-		s.listed = e.Scope == fleet.ListDelta && s.State != fleet.Gone
-	}
-	atStart := len(g.servers) == 0
+	g.askWait, g.alarmAt = 2*heartbeat, g.now
+	atStart, listed := len(g.servers) == 0, map[fleet.ServerID]bool{}
 	for _, entry := range e.Entries {
 		s, known := g.known[entry.Server]
 		if !known {
@@ -277,13 +270,13 @@
 			g.known[entry.Server], g.servers = s, append(g.servers, s)
 		}
 		anew := !known || entry.Started != s.Started || s.State == fleet.Gone && entry.State != fleet.Gone
-		s.Entry, s.listed = entry, entry.State != fleet.Gone
-		if anew {
+		s.Entry, listed[entry.Server] = entry, true
+		if s.Zone = min(s.Zone, fleet.ZoneID(len(g.site.Zones)-1)); anew {
 			g.renew(s, atStart)
 		}
 	}
 	for _, s := range g.servers {
-		if !s.listed {
+		if e.Scope != fleet.ListDelta && !listed[s.Server] {
 			s.State = fleet.Gone
 		}
 	}
@@ -292,15 +285,17 @@
 
 // renew starts a server over: nothing is known of it, and unless it was up before we were it is fresh.
 func (g *Governor) renew(s *server, atStart bool) {
-	s.samples, s.long, s.short, s.quiet, s.capacity = nil, figures{busy: -1}, figures{busy: -1}, 0, 0
-	s.lastGood, s.halved, s.held, s.zeroUntil, s.hold = g.now+interval, false, quarter, 0, 0
+	*s = server{Entry: s.Entry, weight: s.weight, want: s.want, out: s.out, withdrawn: s.withdrawn, told: s.told,
+		lastGood: g.now + interval, held: quarter}
 	if atStart && !g.cold(s) {
 		s.held = 1
 	}
-	for t := range g.tables {
-		s.weight[t] = 1
+	for t, b := range g.tables {
+		if s.weight[t] = 1; g.near && s.Zone != b.zone {
+			s.weight[t] = farPart
+		}
 		if atStart && g.site.ListWeight != fleet.WeightNone && s.Weight > 0 {
-			s.weight[t] = s.Weight
+			s.weight[t] *= s.Weight
 		}
 	}
 }
@@ -315,55 +310,103 @@
 	return g.site.ColdFrom + (1-g.site.ColdFrom)*max(0, (g.now-s.Started).Seconds()/g.site.ColdFor.Seconds())
 }
 
-func (g *Governor) whole(s *server) bool { return s.held == 1 && !g.cold(s) }
+// carries tells that a server has its part of the ordinary load.
+func (g *Governor) carries(s *server) bool { return s.held > 0 && !s.refuge && !g.cold(s) }
 
 func (g *Governor) open(s *server, t int) bool {
-	return s.State == fleet.Ready && (!g.tables[t].local || s.Zone == g.tables[t].zone)
+	return s.State == fleet.Ready && (g.tables[t].group < 2 || s.Zone == g.tables[t].zone)
 }
 
-// measure works out demand, each server's figures and those of the fleet.
-func (g *Governor) measure() {
-	for t := range g.tables {
-		b := &g.tables[t]
-		b.demand, b.total = 0, 0
-		for _, p := range g.proxies {
-			if !b.local || p.zone == b.zone {
-				b.demand += rate(p.usage[b.class])
-			}
+// tableOf gives the table that a class goes by.
+func (g *Governor) tableOf(c int, zone fleet.ZoneID) int {
+	row := &g.classes[c]
+	if row.group < 2 && !g.near {
+		zone = 0
+	}
+	return row.group*len(g.site.Zones) + int(zone)
+}
+
+// count works out demand, what comes to each table and who is on it.
+func (g *Governor) count() {
+	lines := float64(len(g.proxies) * len(g.classes))
+	g.ready, g.home = nil, make([]bool, len(g.site.Zones))
+	for _, s := range g.servers {
+		if s.State == fleet.Ready {
+			g.ready = append(g.ready, s)
 		}
+	}
+	for t, b := range g.tables {
+		g.tables[t] = table{group: b.group, zone: b.zone}
 		for _, s := range g.ready {
-			b.total += s.out[t]
+			g.tables[t].total += s.out[t]
 		}
 	}
-	load, capacity, tries, failed := 0.0, 0.0, 0.0, 0.0
-	var warm []float64
+	all, heard := none, none
+	for _, p := range g.proxies {
+		if !g.home[p.zone] {
+			lines += float64(len(g.ready))
+		}
+		all, g.home[p.zone], p.astray = all+p.usual, true, false
+		if slices.ContainsFunc(p.usage, func(u []sample) bool { return len(u) > 0 }) {
+			heard += p.usual
+		}
+		for c, t := range p.on {
+			p.astray = p.astray || t != g.tableOf(c, p.zone)
+			if t >= 0 && !slices.Contains(p.on[:c], t) {
+				g.tables[t].users++
+			}
+		}
+	}
+	g.turn = max(g.site.ReportEvery, fleet.Second.Scale(lines/max(1, g.site.ReportsPerS)))
+	for c := range g.classes {
+		row := &g.classes[c]
+		for z := range g.site.Zones {
+			g.tables[g.tableOf(c, fleet.ZoneID(z))].classes |= 1 << c
+		}
+		row.demand = 0
+		for _, p := range g.proxies {
+			n := rate(p.usage[c]) * all / heard
+			row.demand += n
+			g.tables[g.tableOf(c, p.zone)].asked += n * row.level
+		}
+	}
+}
+
+// measure works out the figures; the fewer tries a server had, the more it counts as average of its kind.
+func (g *Governor) measure() {
+	load, capacity, tries, good := 0.0, 0.0, 0.0, 0.0
+	kinds, warm := map[fleet.KindID][]float64{}, []float64{}
 	for _, s := range g.ready {
 		s.rate = 0
 		for t, b := range g.tables {
-			s.rate += b.demand * b.level * s.out[t] / max(b.total, none)
-		}
-		s.long = s.figures(g.newest-longLook, len(g.site.Zones))
-		s.short = s.figures(g.newest-shortLook, len(g.site.Zones))
-		tries, failed = tries+s.short.tries, failed+s.short.failed
-		if s.long.latency > 0 && (s.quiet == 0 || s.long.latency < s.quiet) {
-			s.quiet = s.long.latency
-		}
-		if s.capacity = s.long.capacity; s.short.capacity > 0 &&
-			max(s.short.capacity/s.long.capacity, s.long.capacity/s.short.capacity) > shifted {
-			s.capacity = s.short.capacity
-		}
-		if s.capacity > 0 && !s.refuge {
-			load, capacity = load+s.rate, capacity+s.capacity
-			if !g.cold(s) {
-				warm = append(warm, s.capacity)
-			}
+			s.rate += b.asked * s.out[t] / max(b.total, none)
+		}
+		s.long = s.figures(g.newest-max(longLook, few*g.turn), len(g.site.Zones))
+		s.short = s.figures(g.newest-max(shortLook, few*g.turn/2), len(g.site.Zones))
+		tries, good = tries+s.short.tries, good+s.short.good
+		if s.long.good < enough {
+			continue
+		}
+		s.quiet = min(cmp.Or(s.quiet, s.long.latency), s.long.latency)
+		if !s.refuge && !g.cold(s) && (!g.near || g.home[s.Zone]) {
+			warm, kinds[s.Kind] = append(warm, s.long.capacity), append(kinds[s.Kind], s.long.capacity)
 		}
-	}
-	if capacity > 0 {
-		g.target = max(load/capacity, min(busyMost, slack*load/capacity))
 	}
 	g.usual, g.least = cmp.Or(quantile(warm, 0.5), g.usual), cmp.Or(quantile(warm, quarter), g.least)
-	g.failing = failed / max(1, tries)
+	g.failing = (tries - good) / max(1, tries)
+	for _, s := range g.ready {
+		if s.capacity = cmp.Or(quantile(kinds[s.Kind], 0.5), g.usual); g.near && !g.home[s.Zone] {
+			s.capacity *= farPart // those others use; ours only as a help
+		}
+		if s.long.capacity > 0 {
+			s.capacity = (s.long.good + enough) / (s.long.good/s.long.capacity + enough/s.capacity)
+		}
+		if g.carries(s) {
+			load, capacity = load+s.rate, capacity+s.capacity*s.held
+		}
+	}
+	g.load = load / max(none, capacity)
+	g.target = max(g.load, min(busyMost, slack*g.load))
 }
 
 func quantile(of []float64, share float64) float64 {
@@ -372,27 +415,24 @@
 }
 
 func rate(samples []sample) float64 {
-	n, span := 0.0, fleet.Time(0)
+	tries, span := 0.0, fleet.Time(0)
 	for _, m := range samples {
-		n, span = n+m.tries, span+m.span
+		tries, span = tries+m.tries, span+m.span
 	}
-	return n / max(span.Seconds(), none)
+	return tries / max(span.Seconds(), none)
 }
 
-// figures works out what the samples since a time say. Rates go by the span that each report states: reports
-// are rationed and late, so their times of arrival tell little.
+// figures sums up the samples since a time. Rates go by the spans that reports state, as these come late.
 func (s *server) figures(since fleet.Time, zones int) figures {
-	f := figures{busy: -1}
-	good, latency, busy, told := 0.0, 0.0, 0.0, 0.0
+	f, latency, busy, told := figures{busy: -1}, 0.0, 0.0, 0.0
 	byZone := make([]sample, zones)
 	for _, m := range s.samples {
-		if m.at < since || int(m.zone) >= zones {
+		if m.at < since {
 			continue
 		}
-		byZone[m.zone].span += m.span
-		byZone[m.zone].tries += m.good
-		f.tries, f.failed = f.tries+m.tries, f.failed+m.tries-m.good
-		good, latency = good+m.good, latency+m.good*m.latency.Seconds()
+		z := &byZone[m.zone]
+		z.span, z.tries = z.span+m.span, z.tries+m.good
+		f.tries, f.good, latency = f.tries+m.tries, f.good+m.good, latency+m.good*m.latency.Seconds()
 		if m.busy >= 0 {
 			busy, told = busy+m.busy, told+1
 		}
@@ -403,39 +443,42 @@
 	if told > 0 {
 		f.busy = max(busyLeast, busy/told)
 	}
-	if good >= enough {
-		f.latency, f.capacity = fleet.Second.Scale(latency/good), max(0, f.handled/f.busy)
+	if f.good > 0 {
+		f.latency, f.capacity = fleet.Second.Scale(latency/f.good), max(0, f.handled/f.busy)
 	}
 	return f
 }
 
-// judge sets what health leaves each server of its weight. Where the whole fleet fails none is to blame, and
-// none is late for waiting that its busy share explains: saturation cuts that.
+func (g *Governor) log(format string, args ...any) {
+	g.orders = append(g.orders, fleet.Log{Text: fmt.Sprintf(format, args...)})
+}
+
+// judge sets what health leaves each server of its weight. None is blamed for what the fleet does or its busy
+// share explains; who fails a part of its tries still helps, and is cut off only if the others can carry it.
 func (g *Governor) judge() {
-	zeroed := 0.0
+	zeroed, carry := 0.0, 0.0
 	for _, s := range g.ready {
-		if s.held == 0 {
+		if carry += s.capacity * s.held; s.held == 0 {
 			zeroed++
 		}
 	}
 	// Reports take turns: only a server passed over several times, while others were heard, is silent.
-	lines := float64(len(g.servers)*len(g.site.Zones) + len(g.proxies)*len(g.classes))
-	missed := missedTurns * max(g.site.ReportEvery, fleet.Second.Scale(lines/max(1, g.site.ReportsPerS)))
+	most, missed, asked := max(quarter, 2*g.failing), few*g.turn, g.load*carry
 	for _, s := range g.ready {
-		unheard := g.newest - s.lastGood
+		unheard, failed, had := g.newest-s.lastGood, s.long.tries-s.long.good, s.capacity*s.held
 		silent := unheard > missed && s.rate*unheard.Seconds() > enough
-		sick := s.long.failed >= max(failLeast, s.long.tries*max(failShare, 2*g.failing))
-		late := s.quiet > 0 && s.long.latency > s.quiet.Scale(lateFactor*max(1, 1/max(busyLeast, 1-s.long.busy)))
+		sick := failed >= max(few, s.long.tries*most) &&
+			(s.short.good < third*s.short.tries || asked < busyMost*(carry-had))
+		late := s.quiet > 0 && s.long.latency > s.quiet.Scale(lateFactor/max(busyLeast, min(1, 1-s.long.busy)))
 		switch {
 		case s.held > 0 && s.long.busy < busySick && (silent || sick):
 			s.hold = min(longestHold, max(interval, 2*s.hold))
-			s.held, s.zeroUntil = quarter, g.now+s.hold
-			if zeroed+1 <= float64(len(g.ready))*zeroedMost {
+			s.held, s.zeroUntil, carry = quarter, g.now+s.hold, carry-had
+			if zeroed+1 <= float64(len(g.ready))*third {
 				s.held, zeroed = 0, zeroed+1
 			}
-			g.orders = append(g.orders, fleet.Log{Text: fmt.Sprintf(
-				"server %d cut off for %.0f s: silent %v, %.0f of %.0f tries failed",
-				s.Server, s.hold.Seconds(), silent, s.long.failed, s.long.tries)})
+			g.log("server %d cut off for %.0f s: silent %v, %.0f of %.0f tries failed",
+				s.Server, s.hold.Seconds(), silent, failed, s.long.tries)
 			s.samples = s.samples[:0]
 		case s.held == 0 && g.now >= s.zeroUntil:
 			s.held, s.lastGood = quarter, g.now+interval
@@ -443,41 +486,32 @@
 		case late:
 			if !s.halved && s.rate < s.capacity*g.target {
 				s.held, s.halved = max(quarter, s.held/2), true
-				g.orders = append(g.orders, fleet.Log{Text: fmt.Sprintf("server %d late: %.0f ms, best %.0f ms",
-					s.Server, 1e3*s.long.latency.Seconds(), 1e3*s.quiet.Seconds())})
+				g.log("server %d late by %.0f ms", s.Server, 1e3*(s.long.latency-s.quiet).Seconds())
 			}
 		default:
-			s.held, s.halved = min(1, s.held+quarter), false
-			if s.held == 1 {
+			if s.held, s.halved = min(1, s.held+quarter), false; s.held == 1 {
 				s.hold = 0
 			}
 		}
 	}
 }
 
-// balance is the design's ordinary path: cut by saturation overload, spread the cut evenly and normalise. As
-// reports give one latency a server, all its classes have the same relative density and saturation.
+// balance is the design's ordinary path: cut by saturation overload, spread the cut evenly and normalise.
 func (g *Governor) balance() {
-	if g.usual == 0 {
-		return
-	}
 	density, agreed := make([]float64, len(g.ready)), make([]float64, len(g.ready))
 	stay := func(s *server) float64 { return 1 + s.long.latency.Seconds()/interval.Seconds() }
 	for i, s := range g.ready {
 		if s.held > 0 && !s.refuge {
-			density[i], agreed[i] = s.rate*stay(s), cmp.Or(s.capacity, g.usual)*g.target*stay(s)
+			density[i], agreed[i] = s.rate*stay(s), s.capacity*g.target*stay(s)
 		}
 	}
-	for t := range g.tables {
-		b := &g.tables[t]
-		if b.total == 0 || b.demand < none {
+	for t, b := range g.tables {
+		if b.total == 0 || b.asked < none {
 			continue
 		}
-		begun := func(s *server) float64 {
-			return b.demand * b.level * s.out[t] / b.total * interval.Seconds()
-		}
+		begun := func(s *server) float64 { return b.asked * s.out[t] / b.total * interval.Seconds() }
 		room := func(i int) float64 { // tries that a server at full weight can take up to saturation 1
-			if s := g.ready[i]; g.open(s, t) && g.whole(s) && density[i] < agreed[i] {
+			if s := g.ready[i]; g.open(s, t) && s.held == 1 && !g.cold(s) && density[i] < agreed[i] {
 				return (agreed[i] - density[i]) / stay(s) * interval.Seconds()
 			}
 			return 0
@@ -504,297 +538,265 @@
 			}
 		}
 		for _, s := range g.ready {
-			if g.open(s, t) && g.whole(s) {
+			if g.open(s, t) && s.held == 1 && !g.cold(s) {
 				most = max(most, s.weight[t])
 			}
 		}
 		for _, s := range g.ready {
-			if g.open(s, t) {
-				s.weight[t] = min(1, max(leastWeight, s.weight[t]/most))
-			}
+			s.weight[t] = min(1, max(leastWeight, s.weight[t]/most))
 		}
 	}
 }
 
-// adopt lays first tables after a restart that send what proxies were seen to send by their former ones.
-func (g *Governor) adopt() {
-	g.taking = false
-	for _, s := range g.servers {
-		for t := range g.tables {
-			s.weight[t] = max(1, s.long.tries)
-		}
-		if s.held = 1; s.long.tries == 0 || g.cold(s) {
-			s.held = quarter
-		}
-	}
-}
-
-// admit lets in what the fleet can handle on time, cutting visits of least value first. Beyond that further
-// tries feed the overload, so they are off while the fleet is strained.
+// admit lets in what the fleet can handle on time, least value cut first; strained, it gets no further tries.
 func (g *Governor) admit() {
-	handled, busy, unseen, untold, carry, demand := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0
+	handled, busy, carry, demand := 0.0, 0.0, 0.0, 0.0
 	for _, s := range g.ready {
 		if s.held > 0 {
 			carry += min(1, s.held+quarter) * g.can(s)
 		}
-		if carries := s.held > 0 && !g.cold(s) && !s.refuge; carries && s.short.busy >= 0 {
+		if g.carries(s) && s.short.busy >= 0 {
 			handled, busy = handled+s.short.handled, busy+s.short.busy
-		} else if carries {
-			unseen, untold = unseen+s.short.handled, untold+1
 		}
 	}
-	if busy == 0 && g.failing > failShare {
-		handled, busy = unseen, untold // a fleet too full to answer visits answers no probes either
-	}
-	class := make([]float64, len(g.classes))
-	for _, b := range g.tables {
-		class[b.class] += b.demand
-		demand += b.demand
+	for _, c := range g.classes {
+		demand += c.demand
 	}
 	if busy == 0 || handled == 0 || demand < none {
 		return
 	}
 	load := demand / (handled / busy * carry) // busy share that would let all in
-	g.squeeze(load, class)
+	g.squeeze(load)
 	over := demand * max(0, 1-busyMost/load)
-	retry := fleet.RetryNever
-	if over == 0 {
-		retry = fleet.RetryIfNeverRan
+	if g.retry = fleet.RetryNever; over == 0 {
+		g.retry = fleet.RetryIfNeverRan
 	}
-	for _, c := range g.classes {
-		cut := min(over, class[c.id]*(1-levelFloor))
-		over -= cut
-		for t := range g.tables {
-			b := &g.tables[t]
-			if b.class != c.id {
-				continue
-			}
-			b.retry, b.squeezed = retry, c.squeezed
-			if g.site.Admission != fleet.AdmitAll {
-				b.level = min(1-cut/max(class[c.id], none), b.level+easeBack)
-				b.amount = g.amount(b)
-			}
+	for _, id := range g.cheap {
+		c := &g.classes[id]
+		cut := min(over, c.demand*(1-tenth))
+		if over -= cut; g.site.Admission != fleet.AdmitAll {
+			c.level = min(1-cut/max(c.demand, none), c.level+tenth)
 		}
 	}
 }
 
-// squeeze is the paper's last resort, for sites whose proxies let in everything: beyond the fleet's capacity
-// classes of least value share a few servers, so that the others are handled on time.
-func (g *Governor) squeeze(load float64, class []float64) {
-	if g.now < g.squeezeEnd { // the others' lighter mix tells too little of the load to end it
-		return
+// squeeze, where all is let in, gives the classes of least value a few servers to share, as a last resort.
+func (g *Governor) squeeze(load float64) {
+	if g.now < g.squeezeEnd || g.site.Admission != fleet.AdmitAll {
+		return // while it lasts the others' lighter mix tells too little of the load to end it
 	}
-	n, work, need, fits := float64(len(g.ready)), 0.0, 0.0, true
+	n, work, need, refuge, fits := float64(len(g.ready)), 0.0, 0.0, 0, load > squeezeAt
 	for _, c := range g.classes {
-		work += class[c.id] * c.work
+		work += c.demand * c.work
 	}
-	for i := len(g.classes) - 1; i >= 0; i-- {
-		c := &g.classes[i]
-		part := class[c.id] * c.work / work * load / busyMost
+	for i, id := range slices.Backward(g.cheap) {
+		c := &g.classes[id]
+		part := c.demand * c.work / work * load / busyMost
 		if fits = fits && i > 0 && need+part < 1-1/n; fits {
 			need += part
 		}
-		c.squeezed = !fits
+		if c.group > 1 {
+			continue
+		}
+		if c.group = 0; !fits && need > 0 {
+			c.group, refuge, g.squeezeEnd = 1, int(n-math.Ceil(need*n)), g.now+longestHold
+		}
 	}
-	if g.refuge = 0; load > squeezeAt && need > 0 && g.site.Admission == fleet.AdmitAll {
-		g.refuge, g.squeezeEnd = int(n-math.Ceil(need*n)), g.now+longestHold
+	for _, s := range g.ready {
+		if s.refuge = refuge > 0 && !g.cold(s); s.refuge {
+			refuge--
+		}
 	}
 }
 
-// amount gives a table's level in the site's unit: a share, or the rate at each proxy that lets in as much.
-func (g *Governor) amount(b *table) float64 {
-	if b.level >= 1 {
-		return rateOfAll
-	}
-	if g.site.Admission == fleet.AdmitShare {
-		return b.level
+// amount gives a class's level in the site's unit: a share, or the rate at each proxy that lets in as much.
+func (g *Governor) amount(class int) float64 {
+	c, rates := g.classes[class], []float64{}
+	if g.site.Admission == fleet.AdmitShare && c.level < 1 {
+		return c.level
 	}
-	var rates []float64
 	for _, p := range g.proxies {
-		if !b.local || p.zone == b.zone {
-			rates = append(rates, rate(p.usage[b.class]))
-		}
+		rates = append(rates, rate(p.usage[class]))
 	}
 	slices.Sort(rates)
-	left := b.level * b.demand
+	left := c.level * c.demand
 	for i, r := range rates {
-		if each := left / float64(len(rates)-i); r >= each {
+		if each := left / float64(len(rates)-i); r >= each && c.level < 1 {
 			return each
 		}
 		left -= r
 	}
-	return rateOfAll
+	return huge
 }
 
-// wish works out the lines that should be out. Nobody goes bare: with no warm server left at weight, those
-// held at zero share the table. A cold server gets less than it surely can do, over all tables, also when its
-// neighbours have just died; alone in a table it gets nothing where its load could push it over.
+// wish works out the lines that should be out. Nobody goes bare: with no warm server left, all share. A
+// cold server gets less than it surely can do; alone it gets nothing where that could push it over.
 func (g *Governor) wish() {
-	left := g.refuge
-	for _, s := range g.ready {
-		if s.refuge = left > 0 && !g.cold(s); s.refuge {
-			left--
-		}
-	}
-	warm := make([]float64, len(g.tables))
 	for t := range g.tables {
 		b := &g.tables[t]
-		for _, s := range g.servers {
-			if s.want[t] = 0; g.open(s, t) && (g.refuge == 0 || b.local || s.refuge == b.squeezed) {
-				s.want[t] = s.weight[t] * s.held
-			}
-			if !g.cold(s) {
-				warm[t] += s.want[t]
+		used := b.users > 0 || b.classes != 0
+		for pass := 0; pass < 2 && b.warm == 0; pass++ {
+			b.wanted = 0
+			for _, s := range g.servers {
+				right := pass == 1 || b.group > 1 || s.refuge == (b.group == 1)
+				if s.want[t] = 0; used && right && g.open(s, t) {
+					s.want[t] = s.weight[t] * max(s.held, quarter*float64(pass))
+				}
+				if b.wanted += s.want[t]; !g.cold(s) {
+					b.warm += s.want[t]
+				}
 			}
 		}
-		suspect := warm[t] == 0
-		b.wantedTotal = 0
-		for _, s := range g.servers {
-			if suspect && g.open(s, t) && !g.cold(s) {
-				s.want[t] = s.weight[t] * quarter
-				warm[t] += s.want[t]
-			}
-			b.wantedTotal += s.want[t]
-		}
 	}
+	// A proxy keeps away from a server that failed it several times in a row: where most tries fail all crowd on
+	// the few that answer, whatever their weights, and a cold one must be out of the tables by then.
+	crowd := max(0, 1-math.Pow(g.failing, cmp.Or(float64(g.site.OutlierAfter), huge))/quarter)
 	for _, s := range g.ready {
 		if !g.cold(s) || g.usual == 0 {
 			continue
 		}
-		// A proxy keeps away from a server that failed it several times in a row: where most tries fail all
-		// crowd on the few that answer, whatever their weights, and a cold one must be out of the tables by then.
-		crowd := max(0, 1-math.Pow(g.failing, float64(cmp.Or(g.site.OutlierAfter, endless)))/failShare)
 		can, load := g.can(s)*g.least*crowd, none
 		for t, b := range g.tables {
-			load += b.demand * s.want[t] / max(b.wantedTotal, none)
+			load += b.asked * s.want[t] / max(b.wanted, none)
 		}
 		for t, b := range g.tables {
-			if warm[t] > 0 {
-				s.want[t] = min(s.want[t], s.want[t]/b.wantedTotal*coldSafe*can/load*warm[t])
-			} else if load > can*g.site.FallFactor*coldAlone {
+			if b.warm > 0 {
+				s.want[t] = min(s.want[t], s.want[t]/b.wanted*coldSafe*can/load*b.warm)
+			} else if load > can*g.site.FallFactor*room {
 				s.want[t] = 0
 			}
 		}
 	}
 }
 
-// reconcile works out the difference between what is wanted and what is out and emits it, urgent first.
+// reconcile emits the difference between what is wanted and what is out. What goes to all goes once in a gap,
+// so that troubles that come one by one don't use up the messages.
 func (g *Governor) reconcile() {
 	g.waiting = max(0, g.waiting-(g.now-g.waitingAt).Seconds()*g.site.LinesPerS*pace)
-	g.waitingAt, g.wrote = g.now, false
-	if g.alarmAt <= g.now {
+	if g.waitingAt = g.now; g.alarmAt <= g.now {
 		g.alarmAt = g.now + heartbeat
 		g.orders = append(g.orders, fleet.SetAlarm{After: heartbeat})
 	}
 	if g.askAt > 0 && g.askAt <= g.now {
 		g.askAt, g.orders = 0, append(g.orders, fleet.Watch{On: true})
 	}
-	for _, s := range g.servers {
-		if g.due && g.site.Probes && g.site.Report == fleet.ReportOnProbe && s.State == fleet.Ready {
+	for _, s := range g.ready {
+		if g.due && g.site.Probes && g.site.Report == fleet.ReportOnProbe {
 			g.orders = append(g.orders, fleet.Probe{Server: s.Server})
 		}
-		if out := s.State != fleet.Ready; out != s.withdrawn {
-			s.withdrawn = out
-			g.toAll(fleet.Withdraw{Server: s.Server, Out: out})
-		}
 	}
 	if g.site.Slices > 0 {
 		return
 	}
-	// Lines change once an interval, the largest changes first; what the channel has no room for follows soon.
-	// A withdrawal takes its replacement along; cold servers and bare tables can't wait and need no room.
-	lines, urgent := g.changes(g.due || g.wrote || g.more)
-	fit := (room*g.site.BacklogMost-g.waiting)/float64(max(1, len(g.proxies))) - g.site.MessageHead
-	if !g.wrote && !g.mayWrite() {
-		fit = 0
+	gap := writeGap
+	if g.site.MessagesMost > 0 {
+		gap = max(gap, g.site.MessagesOver/fleet.Time(max(1, g.site.MessagesMost-spareWrites)))
 	}
-	some := min(len(lines), urgent+max(0, int(fit)))
-	lines, g.more = lines[:some], some < len(lines)
-	for _, l := range lines {
-		s := g.known[l.Server]
-		s.out[l.Table] = s.want[l.Table]
-		g.toAll(l)
+	if g.now >= g.wroteAt+gap {
+		g.publish()
 	}
-	for t := range g.tables {
-		if b := &g.tables[t]; math.Abs(b.amount-b.amountOut) > leastChange*b.amountOut || b.retry != b.retryOut {
-			b.amountOut, b.retryOut = b.amount, b.retry
-			g.toAll(fleet.Level{Table: fleet.TableID(t), Amount: float32(b.amount), Retry: b.retry})
+	g.join()
+}
+
+// head gives the lines that each message has beside its own: the site's, and the levels for all tables.
+func (g *Governor) head() float64 { return g.site.MessageHead + float64(len(g.classes)) }
+
+// publish emits what goes to all. Withdrawals, cold servers and bare tables need no room. Ordinary lines go
+// once an interval, the largest changes first; what the channel has no room for follows in pieces.
+func (g *Governor) publish() {
+	users := float64(len(g.proxies))
+	for _, s := range g.servers {
+		if out := s.State != fleet.Ready; out != s.withdrawn {
+			s.withdrawn, s.told = out, g.now
+			g.toAll(fleet.Withdraw{Server: s.Server, Out: out}, users)
 		}
 	}
-	g.join()
+	for c := range g.classes {
+		l, out := fleet.Level{Table: fleet.EveryTable, Classes: 1 << c, Retry: g.retry}, &g.classes[c].out
+		l.Amount = float32(g.amount(c))
+		if math.Abs(float64(l.Amount/out.Amount-1)) > leastChange || l.Retry != out.Retry {
+			*out = l
+			g.toAll(l, users)
+		}
+	}
+	ordinary := g.pieceAt > 0 && g.now >= g.pieceAt
+	lines, urgent := g.changes(ordinary)
+	if ordinary {
+		g.pieceAt = 0
+	}
+	fit := room*g.site.BacklogMost - g.waiting - g.head()*users
+	for i, l := range lines {
+		on := g.tables[l.Table].users
+		if fit -= on; i >= urgent && fit < 0 && on > 0 {
+			g.pieceAt = g.now + interval/2
+			continue
+		}
+		g.known[l.Server].out[l.Table] = float64(l.Weight)
+		g.toAll(l, on)
+	}
 }
 
 // changes gives the lines to send and how many of them can't wait: those come first, then the ordinary ones
-// if they are due, by size.
+// if they are due, by size. Proxies go by ratios, so a factor common to most lines of a table is no change.
 func (g *Governor) changes(ordinary bool) (lines []fleet.Share, urgent int) {
+	size := map[fleet.Share]float64{}
 	for t := range g.tables {
-		bare := true
+		scale := []float64{}
 		for _, s := range g.servers {
-			bare = bare && (s.withdrawn || s.out[t] == 0)
+			if s.out[t] > 0 && s.want[t] > 0 {
+				scale = append(scale, s.out[t]/s.want[t])
+			}
+		}
+		unit := cmp.Or(quantile(scale, 0.5), 1)
+		if unit > huge || unit < 1/huge {
+			unit = 1
 		}
 		for _, s := range g.servers {
-			w, o := s.want[t], s.out[t]
+			w, o := s.want[t]*unit, s.out[t]
 			l := fleet.Share{Table: fleet.TableID(t), Server: s.Server, Weight: float32(w)}
-			if hurry := bare || g.cold(s) && o > slack*w; w == o || w > 0 && math.Abs(w-o) <= leastChange*o {
+			if w == o || w > 0 && math.Abs(w-o) <= leastChange*o {
 				continue
-			} else if hurry {
+			}
+			if !s.withdrawn && (g.tables[t].total == 0 || g.cold(s) && o > slack*w) {
 				lines, urgent = slices.Insert(lines, 0, l), urgent+1
 			} else if ordinary {
 				lines = append(lines, l)
 			}
+			if !s.withdrawn {
+				size[l] = math.Abs(w-o) / unit
+			}
 		}
 	}
-	size := func(l fleet.Share) float64 {
-		s := g.known[l.Server]
-		return math.Abs(s.want[l.Table] - s.out[l.Table])
-	}
-	slices.SortStableFunc(lines[urgent:], func(a, b fleet.Share) int { return cmp.Compare(size(b), size(a)) })
+	slices.SortStableFunc(lines[urgent:], func(a, b fleet.Share) int { return cmp.Compare(size[b], size[a]) })
 	return lines, urgent
 }
 
-// toAll gives an order that costs a line at every joined proxy.
-func (g *Governor) toAll(order fleet.Order) {
-	g.orders = append(g.orders, order)
-	if g.waiting += float64(len(g.proxies)); !g.wrote {
-		g.waiting += g.site.MessageHead * float64(len(g.proxies))
+// toAll gives an order that costs a line at each of so many proxies.
+func (g *Governor) toAll(order fleet.Order, users float64) {
+	if g.waiting += users; g.wroteAt != g.now {
+		g.waiting += g.head() * float64(len(g.proxies))
 	}
-	g.wrote = true
-}
-
-// mayWrite keeps some messages to each proxy back for urgent orders.
-func (g *Governor) mayWrite() bool {
-	over := func(at fleet.Time) bool { return at <= g.now-g.site.MessagesOver }
-	g.written = slices.DeleteFunc(g.written, over)
-	return g.site.MessagesMost == 0 || len(g.written) < max(1, g.site.MessagesMost-spareWrites)
+	g.orders, g.wroteAt = append(g.orders, order), g.now
 }
 
-// join puts proxies on their tables, as many as the channel has room for. One that must wait for its table
-// has not heard of earlier withdrawals, so they go out again.
+// join puts proxies on their tables, those with most visits first, as many as the channel has room for.
 func (g *Governor) join() {
-	again, bound := false, false
-	for _, p := range g.proxies {
-		if p.bound {
-			continue
-		}
-		lines := g.site.MessageHead + float64(len(g.tables)*(2+len(g.servers)))
-		if g.taking && !p.fresh || g.waiting+lines > room*g.site.BacklogMost {
-			again, p.waits = again || p.waits, false
-			continue
-		}
-		g.waiting += lines
-		p.bound, p.waits, bound = true, false, true
+	astray := slices.DeleteFunc(slices.Clone(g.proxies), func(p *proxy) bool { return !p.astray })
+	slices.SortStableFunc(astray, func(a, b *proxy) int { return cmp.Compare(b.usual, a.usual) })
+	for _, p := range astray {
+		var binds []fleet.Order
 		for t, b := range g.tables {
-			if !b.local || b.zone == p.zone {
-				g.orders = append(g.orders, fleet.Bind{Proxy: p.id, Table: fleet.TableID(t), Classes: 1 << b.class})
+			if b.classes != 0 && (b.zone == p.zone || b.group < 2 && !g.near) {
+				binds = append(binds, fleet.Bind{Proxy: p.id, Table: fleet.TableID(t), Classes: b.classes})
 			}
 		}
-	}
-	for _, s := range g.servers {
-		if again && s.withdrawn {
-			g.toAll(fleet.Withdraw{Server: s.Server, Out: true})
+		lines := g.head() + float64(len(binds)*(1+len(g.servers)))
+		if g.watching || g.waiting > 0 && g.waiting+lines > room*room*g.site.BacklogMost {
+			continue
+		}
+		g.waiting, g.orders = g.waiting+lines, append(g.orders, binds...)
+		for c := range p.on {
+			p.on[c] = g.tableOf(c, p.zone)
 		}
-	}
-	if bound || g.wrote {
-		g.written = append(g.written, g.now)
 	}
 }
