Keep cold servers out of standing tables and let marks count the channel

Change: cold servers stay withdrawn while proxies go by other tables (a quarter of the fleet at most); answers to marks tell what left the channel; joins count the lines that tables hold; fresh proxies wait for reports where tables are dear; readmissions and cold lines stay within three quarters of the backlog.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,7 +1,7 @@
 // Package logic decides which servers the proxies of a fleet send their visits to. A host makes a Governor by
-// New(site, seed) and calls Step(now, events) for every batch of events; Step gives the orders to carry out, in
-// their order. Site, events and orders live in package fleet. The module reads nothing else: no clock, no file,
-// no network; the same events give the same orders.
+// New(site, seed) and calls Step(now, events) for every batch of events; Step gives the orders to carry out.
+// Site, events and orders live in package fleet. The module reads nothing else: no clock, no file, no net; the
+// same events give the same orders.
 package logic
 
 import (
@@ -36,7 +36,7 @@
 	leastChange = 0.03                 // relative change of a line or level worth sending
 	tenth       = 0.1                  // of its visits each class keeps; a level rises by so much at a time
 	huge        = 1e6                  // visits a second at a proxy that stand for all; most lines may drift
-	pace        = 0.5                  // part of the stated channel pace to count on: it may be slow for a while
+	pace        = 0.25                 // part of the stated channel pace to count on where no mark is answered
 	room        = 0.5                  // part of the backlog, and of a lone cold server's limit, to use
 	spareWrites = 5                    // messages to a proxy kept back for its joins
 	farPart     = 0.05                 // first weight of servers in other zones where connections are short
@@ -56,12 +56,11 @@
 	group               int
 	zone                fleet.ZoneID
 	classes             fleet.ClassSet // that go by it
-	users, asked        float64        // proxies on it; visits a second that its classes let in
+	users, asked, lines float64        // proxies on it; visits a second that its classes let in; lines of a bind
 	total, warm, wanted float64        // of the lines ordered; of those wanted of warm servers, of all
 }
 
-// sample is one report: of what ended at a server, of its load, or of what came to a proxy.
-type sample struct {
+type sample struct { // one report: of what ended at a server, of its load, or of what came to a proxy
 	at, span, latency fleet.Time
 	zone              fleet.ZoneID
 	tries, good, busy float64 // busy negative: not told
@@ -86,12 +85,12 @@
 }
 
 type proxy struct {
-	id     fleet.ProxyID
-	zone   fleet.ZoneID
-	usual  float64    // visits a second, as told when it joined
-	on     []int      // by class: its table of ours, -1: none yet
-	astray bool       // is not on the tables it should be on
-	usage  [][]sample // by class
+	id           fleet.ProxyID
+	zone         fleet.ZoneID
+	usual, heard float64    // visits a second, as told when it joined; the same once it was heard of
+	on           []int      // by class: its table of ours, -1: none yet
+	astray       bool       // is not on the tables it should be on
+	usage        [][]sample // by class
 }
 
 // Governor decides for the proxies that are joined to it.
@@ -109,21 +108,23 @@
 	busyAt                   int        // place of the busy share in load reports, or -1
 	near                     bool       // a server has fewer connections than there are proxies: near ones first
 	due, watching            bool       // an interval ends; no tables are laid yet
+	former, unbound          bool       // proxies that joined held tables of another; some are on none of ours
 	now, started, turn       fleet.Time // of this step, of the first; of the rationed reports
 	judged, admitted, newest fleet.Time // last judgement, last levels; newest report of tries
 	askAt, askWait           fleet.Time // when to ask for the list, 0: no; wait before it is asked again
 	wroteAt, pieceAt         fleet.Time // last message to all; when ordinary lines may go, 0: none wait
 	alarmAt, squeezeEnd      fleet.Time
-	waitingAt                fleet.Time // when waiting, the lines in the channel, was worked out
-	target, load             float64    // busy share that agreed densities are made for; the fleet's mean
-	usual, least, failing    float64    // capacity of a warm server: median, low quartile; failed share of late
-	waiting                  float64
+	countedAt                fleet.Time // when left was worked out
+	lines, left              float64    // put into the channel in all; of those surely gone from it
+	marks                    map[fleet.MarkID]float64
+	mark                     fleet.MarkID // the latest; marks has what lines were before each
+	target, load             float64      // busy share that agreed densities are made for; the fleet's mean
+	usual, least, failing    float64      // of a warm server's capacity: median, low quartile; failed share
 	retry                    fleet.Retry
 	orders                   []fleet.Order
 }
 
-// chance is a multiply-with-carry generator.
-type chance struct{ x, carry uint32 }
+type chance struct{ x, carry uint32 } // a multiply-with-carry generator
 
 func (c *chance) next() float64 {
 	t := 4294957665*uint64(c.x) + uint64(c.carry)
@@ -135,7 +136,8 @@
 func New(site fleet.Site, seed uint64) *Governor {
 	g := &Governor{
 		site: site, chance: chance{uint32(seed) | 1, uint32(seed>>33) | 1}, askWait: 2 * heartbeat, started: -1,
-		known: map[fleet.ServerID]*server{}, joined: map[fleet.ProxyID]*proxy{}, watching: true, target: busyMost,
+		known: map[fleet.ServerID]*server{}, marks: map[fleet.MarkID]float64{},
+		joined: map[fleet.ProxyID]*proxy{}, watching: true, target: busyMost,
 		busyAt: slices.Index(site.LoadFields, fleet.FieldBusy),
 		near:   site.ConnLeast > 0 && site.ConnLeast < float64(site.Proxies),
 	}
@@ -159,7 +161,7 @@
 func (g *Governor) Step(now fleet.Time, events []fleet.Event) []fleet.Order {
 	g.now, g.orders = now, g.orders[:0]
 	if g.started < 0 {
-		g.started, g.judged, g.waitingAt, g.wroteAt = now, now, now, now-interval
+		g.started, g.judged, g.countedAt, g.wroteAt = now, now, now, now-interval
 		if g.site.ListOnRequest {
 			g.askAt = now
 		}
@@ -167,9 +169,12 @@
 	for _, e := range events {
 		g.observe(e)
 	}
-	// A former table may be down to withdrawn lines, so the watch ends well before that breaks a rule.
-	watched := g.watching && (now >= g.started+min(2*interval, g.site.BareMost/2) ||
-		g.usual > 0 && now >= g.started+interval)
+	// Former tables may be down to withdrawn lines, so the watch ends well before that breaks a rule.
+	watch := min(2*interval, g.site.BareMost/2)
+	if all := float64(len(g.proxies) * len(g.servers)); !g.former && all > interval.Seconds()*g.site.LinesPerS {
+		watch = 2 * interval // lines once out are dear to change
+	}
+	watched := g.watching && (now >= g.started+watch || g.usual > 0 && now >= g.started+interval)
 	g.due = now >= g.judged+interval || watched
 	second := g.due || now >= g.admitted+interval/2 // levels follow demand at the pace of reports
 	if !second && now < g.alarmAt {
@@ -211,6 +216,7 @@
 		p := &proxy{id: e.Proxy, zone: min(e.Zone, fleet.ZoneID(len(g.site.Zones)-1)), usual: max(none, e.Weight),
 			on: slices.Repeat([]int{-1}, n), usage: make([][]sample, n)}
 		g.joined[p.id], g.proxies, g.alarmAt = p, append(g.proxies, p), g.now
+		g.former = g.former || !e.Fresh
 		slices.SortFunc(g.proxies, func(a, b *proxy) int { return cmp.Compare(a.id, b.id) })
 		for _, s := range g.servers { // one that must wait for its table has not heard of these
 			s.withdrawn = s.withdrawn && g.now > s.told+longestHold
@@ -230,10 +236,12 @@
 		if s := g.known[e.Server]; s != nil && e.Outcome == fleet.Answered {
 			s.samples = append(s.samples, sample{at: g.now, busy: g.busyIn(e.Load)})
 		}
+	case fleet.Applied: // messages leave in their order
+		g.left = max(g.left, g.marks[e.Mark])
 	case fleet.Usage:
 		if p := g.joined[e.Proxy]; p != nil && int(e.Class) < len(p.usage) {
 			u := p.usage[e.Class]
-			if u = u[max(0, len(u)+1-few):]; e.Span > few*g.site.ReportEvery {
+			if p.heard, u = p.usual, u[max(0, len(u)+1-few):]; e.Span > few*g.site.ReportEvery {
 				u = nil
 			}
 			p.usage[e.Class] = append(u, sample{at: g.now, span: e.Span, tries: float64(e.Visits)})
@@ -271,8 +279,22 @@
 		}
 		anew := !known || entry.Started != s.Started || s.State == fleet.Gone && entry.State != fleet.Gone
 		s.Entry, listed[entry.Server] = entry, true
-		if s.Zone = min(s.Zone, fleet.ZoneID(len(g.site.Zones)-1)); anew {
-			g.renew(s, atStart)
+		if s.Zone = min(s.Zone, fleet.ZoneID(len(g.site.Zones)-1)); !anew {
+			continue
+		}
+		// Nothing is known of one that starts, and unless it was up before we were it is fresh.
+		*s = server{Entry: s.Entry, weight: s.weight, want: s.want, out: s.out, withdrawn: s.withdrawn,
+			told: s.told, lastGood: g.now + interval, held: quarter}
+		if atStart && !g.cold(s) {
+			s.held = 1
+		}
+		for t, b := range g.tables {
+			if s.weight[t] = 1; g.near && s.Zone != b.zone {
+				s.weight[t] = farPart
+			}
+			if atStart && g.site.ListWeight != fleet.WeightNone && s.Weight > 0 {
+				s.weight[t] *= s.Weight
+			}
 		}
 	}
 	for _, s := range g.servers {
@@ -283,41 +305,21 @@
 	slices.SortFunc(g.servers, func(a, b *server) int { return cmp.Compare(a.Server, b.Server) })
 }
 
-// renew starts a server over: nothing is known of it, and unless it was up before we were it is fresh.
-func (g *Governor) renew(s *server, atStart bool) {
-	*s = server{Entry: s.Entry, weight: s.weight, want: s.want, out: s.out, withdrawn: s.withdrawn, told: s.told,
-		lastGood: g.now + interval, held: quarter}
-	if atStart && !g.cold(s) {
-		s.held = 1
-	}
-	for t, b := range g.tables {
-		if s.weight[t] = 1; g.near && s.Zone != b.zone {
-			s.weight[t] = farPart
-		}
-		if atStart && g.site.ListWeight != fleet.WeightNone && s.Weight > 0 {
-			s.weight[t] *= s.Weight
-		}
-	}
-}
-
 func (g *Governor) cold(s *server) bool { return s.Started > 0 && g.now < s.Started+g.site.ColdFor }
 
-// can gives the part of its capacity that a server surely has.
-func (g *Governor) can(s *server) float64 {
+func (g *Governor) can(s *server) float64 { // the part of its capacity that it surely has
 	if !g.cold(s) {
 		return 1
 	}
 	return g.site.ColdFrom + (1-g.site.ColdFrom)*max(0, (g.now-s.Started).Seconds()/g.site.ColdFor.Seconds())
 }
 
-// carries tells that a server has its part of the ordinary load.
 func (g *Governor) carries(s *server) bool { return s.held > 0 && !s.refuge && !g.cold(s) }
 
 func (g *Governor) open(s *server, t int) bool {
 	return s.State == fleet.Ready && (g.tables[t].group < 2 || s.Zone == g.tables[t].zone)
 }
 
-// tableOf gives the table that a class goes by.
 func (g *Governor) tableOf(c int, zone fleet.ZoneID) int {
 	row := &g.classes[c]
 	if row.group < 2 && !g.near {
@@ -329,7 +331,7 @@
 // count works out demand, what comes to each table and who is on it.
 func (g *Governor) count() {
 	lines := float64(len(g.proxies) * len(g.classes))
-	g.ready, g.home = nil, make([]bool, len(g.site.Zones))
+	g.ready, g.home, g.unbound = nil, make([]bool, len(g.site.Zones)), false
 	for _, s := range g.servers {
 		if s.State == fleet.Ready {
 			g.ready = append(g.ready, s)
@@ -337,8 +339,13 @@
 	}
 	for t, b := range g.tables {
 		g.tables[t] = table{group: b.group, zone: b.zone}
-		for _, s := range g.ready {
-			g.tables[t].total += s.out[t]
+		for _, s := range g.servers {
+			if s.out[t] > 0 || s.withdrawn {
+				g.tables[t].lines++
+			}
+			if s.State == fleet.Ready {
+				g.tables[t].total += s.out[t]
+			}
 		}
 	}
 	all, heard := none, none
@@ -346,11 +353,9 @@
 		if !g.home[p.zone] {
 			lines += float64(len(g.ready))
 		}
-		all, g.home[p.zone], p.astray = all+p.usual, true, false
-		if slices.ContainsFunc(p.usage, func(u []sample) bool { return len(u) > 0 }) {
-			heard += p.usual
-		}
+		g.home[p.zone], p.astray, all, heard = true, false, all+p.usual, heard+p.heard
 		for c, t := range p.on {
+			g.unbound = g.unbound || t < 0
 			p.astray = p.astray || t != g.tableOf(c, p.zone)
 			if t >= 0 && !slices.Contains(p.on[:c], t) {
 				g.tables[t].users++
@@ -506,10 +511,7 @@
 		}
 	}
 	for t, b := range g.tables {
-		if b.total == 0 || b.asked < none {
-			continue
-		}
-		begun := func(s *server) float64 { return b.asked * s.out[t] / b.total * interval.Seconds() }
+		begun := func(s *server) float64 { return b.asked * s.out[t] / max(b.total, none) * interval.Seconds() }
 		room := func(i int) float64 { // tries that a server at full weight can take up to saturation 1
 			if s := g.ready[i]; g.open(s, t) && s.held == 1 && !g.cold(s) && density[i] < agreed[i] {
 				return (agreed[i] - density[i]) / stay(s) * interval.Seconds()
@@ -634,12 +636,11 @@
 func (g *Governor) wish() {
 	for t := range g.tables {
 		b := &g.tables[t]
-		used := b.users > 0 || b.classes != 0
 		for pass := 0; pass < 2 && b.warm == 0; pass++ {
 			b.wanted = 0
 			for _, s := range g.servers {
 				right := pass == 1 || b.group > 1 || s.refuge == (b.group == 1)
-				if s.want[t] = 0; used && right && g.open(s, t) {
+				if s.want[t] = 0; (b.users > 0 || b.classes != 0) && right && g.open(s, t) {
 					s.want[t] = s.weight[t] * max(s.held, quarter*float64(pass))
 				}
 				if b.wanted += s.want[t]; !g.cold(s) {
@@ -650,7 +651,7 @@
 	}
 	// A proxy keeps away from a server that failed it several times in a row: where most tries fail all crowd on
 	// the few that answer, whatever their weights, and a cold one must be out of the tables by then.
-	crowd := max(0, 1-math.Pow(g.failing, cmp.Or(float64(g.site.OutlierAfter), huge))/quarter)
+	crowd := max(0, 1-math.Pow(g.failing, cmp.Or(float64(g.site.OutlierAfter), huge))/tenth)
 	for _, s := range g.ready {
 		if !g.cold(s) || g.usual == 0 {
 			continue
@@ -672,8 +673,8 @@
 // reconcile emits the difference between what is wanted and what is out. What goes to all goes once in a gap,
 // so that troubles that come one by one don't use up the messages.
 func (g *Governor) reconcile() {
-	g.waiting = max(0, g.waiting-(g.now-g.waitingAt).Seconds()*g.site.LinesPerS*pace)
-	if g.waitingAt = g.now; g.alarmAt <= g.now {
+	g.left = min(g.lines, g.left+(g.now-g.countedAt).Seconds()*g.site.LinesPerS*pace)
+	if g.countedAt = g.now; g.alarmAt <= g.now {
 		g.alarmAt = g.now + heartbeat
 		g.orders = append(g.orders, fleet.SetAlarm{After: heartbeat})
 	}
@@ -688,26 +689,35 @@
 	if g.site.Slices > 0 {
 		return
 	}
-	gap := writeGap
-	if g.site.MessagesMost > 0 {
-		gap = max(gap, g.site.MessagesOver/fleet.Time(max(1, g.site.MessagesMost-spareWrites)))
-	}
+	most := max(1, cmp.Or(g.site.MessagesMost, huge)-spareWrites)
+	gap := max(writeGap, g.site.MessagesOver/fleet.Time(most))
+	before := g.lines
 	if g.now >= g.wroteAt+gap {
 		g.publish()
 	}
-	g.join()
+	if g.join(); g.lines > before {
+		g.mark = (g.mark + 1) % 65536
+		g.marks[g.mark], g.orders = before, append(g.orders, fleet.Mark{ID: g.mark})
+	}
 }
 
-// head gives the lines that each message has beside its own: the site's, and the levels for all tables.
-func (g *Governor) head() float64 { return g.site.MessageHead + float64(len(g.classes)) }
+// head gives the lines that each message has beside its own: the site's, the levels for all and a mark.
+func (g *Governor) head() float64 { return g.site.MessageHead + float64(len(g.classes)) + 1 }
 
 // publish emits what goes to all. Withdrawals, cold servers and bare tables need no room. Ordinary lines go
 // once an interval, the largest changes first; what the channel has no room for follows in pieces.
 func (g *Governor) publish() {
 	users := float64(len(g.proxies))
+	fit := room*g.site.BacklogMost - (g.lines - g.left) - g.head()*users
+	spare := quarter*float64(len(g.servers)) - float64(len(g.servers)-len(g.ready))
 	for _, s := range g.servers {
-		if out := s.State != fleet.Ready; out != s.withdrawn {
-			s.withdrawn, s.told = out, g.now
+		// Standing tables send to cold servers as to all others, so some stay out until no proxy goes by one.
+		out := s.State != fleet.Ready
+		if !out && g.unbound && g.cold(s) && spare > 1 {
+			out, spare = true, spare-1
+		}
+		if out != s.withdrawn && (out || fit > users) {
+			s.withdrawn, s.told, fit = out, g.now, fit-users
 			g.toAll(fleet.Withdraw{Server: s.Server, Out: out}, users)
 		}
 	}
@@ -719,28 +729,9 @@
 			g.toAll(l, users)
 		}
 	}
-	ordinary := g.pieceAt > 0 && g.now >= g.pieceAt
-	lines, urgent := g.changes(ordinary)
-	if ordinary {
-		g.pieceAt = 0
-	}
-	fit := room*g.site.BacklogMost - g.waiting - g.head()*users
-	for i, l := range lines {
-		on := g.tables[l.Table].users
-		if fit -= on; i >= urgent && fit < 0 && on > 0 {
-			g.pieceAt = g.now + interval/2
-			continue
-		}
-		g.known[l.Server].out[l.Table] = float64(l.Weight)
-		g.toAll(l, on)
-	}
-}
-
-// changes gives the lines to send and how many of them can't wait: those come first, then the ordinary ones
-// if they are due, by size. Proxies go by ratios, so a factor common to most lines of a table is no change.
-func (g *Governor) changes(ordinary bool) (lines []fleet.Share, urgent int) {
-	size := map[fleet.Share]float64{}
-	for t := range g.tables {
+	// Proxies go by ratios, so a factor common to most lines of a table is no change.
+	ordinary, lines, size := g.pieceAt > 0 && g.now >= g.pieceAt, []fleet.Share{}, map[fleet.Share]float64{}
+	for t, b := range g.tables {
 		scale := []float64{}
 		for _, s := range g.servers {
 			if s.out[t] > 0 && s.want[t] > 0 {
@@ -754,27 +745,34 @@
 		for _, s := range g.servers {
 			w, o := s.want[t]*unit, s.out[t]
 			l := fleet.Share{Table: fleet.TableID(t), Server: s.Server, Weight: float32(w)}
-			if w == o || w > 0 && math.Abs(w-o) <= leastChange*o {
-				continue
+			if size[l] = math.Abs(w-o) / unit; s.withdrawn {
+				size[l] = none
+			} else if b.total == 0 || g.cold(s) && o > slack*w {
+				size[l] += huge
 			}
-			if !s.withdrawn && (g.tables[t].total == 0 || g.cold(s) && o > slack*w) {
-				lines, urgent = slices.Insert(lines, 0, l), urgent+1
-			} else if ordinary {
+			if w != o && (w == 0 || math.Abs(w-o) > leastChange*o) && (ordinary || size[l] > huge) {
 				lines = append(lines, l)
 			}
-			if !s.withdrawn {
-				size[l] = math.Abs(w-o) / unit
-			}
 		}
 	}
-	slices.SortStableFunc(lines[urgent:], func(a, b fleet.Share) int { return cmp.Compare(size[b], size[a]) })
-	return lines, urgent
+	if ordinary {
+		g.pieceAt = 0
+	}
+	slices.SortStableFunc(lines, func(a, b fleet.Share) int { return cmp.Compare(size[b], size[a]) })
+	for _, l := range lines {
+		on := g.tables[l.Table].users
+		if fit -= on; on > 0 && fit < 0 && (size[l] < huge || fit < -quarter*g.site.BacklogMost) {
+			g.pieceAt = g.now + interval/2
+			continue
+		}
+		g.known[l.Server].out[l.Table] = float64(l.Weight)
+		g.toAll(l, on)
+	}
 }
 
-// toAll gives an order that costs a line at each of so many proxies.
-func (g *Governor) toAll(order fleet.Order, users float64) {
-	if g.waiting += users; g.wroteAt != g.now {
-		g.waiting += g.head() * float64(len(g.proxies))
+func (g *Governor) toAll(order fleet.Order, users float64) { // costs a line at each of so many proxies
+	if g.lines += users; g.wroteAt != g.now {
+		g.lines += g.head() * float64(len(g.proxies))
 	}
 	g.orders, g.wroteAt = append(g.orders, order), g.now
 }
@@ -784,17 +782,17 @@
 	astray := slices.DeleteFunc(slices.Clone(g.proxies), func(p *proxy) bool { return !p.astray })
 	slices.SortStableFunc(astray, func(a, b *proxy) int { return cmp.Compare(b.usual, a.usual) })
 	for _, p := range astray {
-		var binds []fleet.Order
+		binds, lines := []fleet.Order{}, g.head()
 		for t, b := range g.tables {
 			if b.classes != 0 && (b.zone == p.zone || b.group < 2 && !g.near) {
 				binds = append(binds, fleet.Bind{Proxy: p.id, Table: fleet.TableID(t), Classes: b.classes})
+				lines += 1 + b.lines
 			}
 		}
-		lines := g.head() + float64(len(binds)*(1+len(g.servers)))
-		if g.watching || g.waiting > 0 && g.waiting+lines > room*room*g.site.BacklogMost {
+		if g.watching || g.lines > g.left && g.lines-g.left+lines > room*room*g.site.BacklogMost {
 			continue
 		}
-		g.waiting, g.orders = g.waiting+lines, append(g.orders, binds...)
+		g.lines, g.orders = g.lines+lines, append(g.orders, binds...)
 		for c := range p.on {
 			p.on[c] = g.tableOf(c, p.zone)
 		}
--- a/logic/yard_test.go
+++ b/logic/yard_test.go
@@ -20,6 +20,8 @@
 	servers  []*machine
 	holders  []*holder
 	lines    float64 // in the channel
+	marks    []fleet.Event
+	shared   int // lines set
 	broken   string
 }
 
@@ -214,6 +216,9 @@
 	span := y.site.ReportEvery
 	count := func(rate float64) uint32 { return uint32(rate*span.Seconds() + y.rng.Float64()) }
 	loads := y.loads()
+	if y.lines == 0 {
+		events, y.marks = y.marks, nil
+	}
 	for _, m := range y.servers {
 		load := sum(loads[m.Server])
 		busy, failed := float32(min(1, load/y.capacity(m))), max(m.sick, 1-y.capacity(m)/max(1, load))
@@ -265,6 +270,7 @@
 			y.tables[o.Table] = map[fleet.ServerID]float64{}
 		}
 		y.tables[o.Table][o.Server] = float64(o.Weight)
+		y.shared++
 		for _, h := range y.holders {
 			if h.joined && slices.Contains(h.on, int(o.Table)) {
 				reached[h]++
@@ -285,6 +291,8 @@
 				y.fail("effect twice: retry %d ordered for class %+v", o.Retry, class)
 			}
 		}
+	case fleet.Mark:
+		y.marks = append(y.marks, fleet.Applied{Mark: o.ID})
 	case fleet.Bind:
 		h := y.holders[o.Proxy]
 		reached[h] += float64(1 + len(y.tables[o.Table]))
