Lay tables by parts where connections run short; a squeeze that lasts

Change: near tables are split into parts that leave a tenth of the connections free, other servers follow at a hundredth; small lines wait for the last join; joins and changes count only what waits; a squeeze binds what changed and lasts.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,7 +1,6 @@
 // Package logic decides which servers the proxies of a fleet send their visits to. A host makes a Governor by
 // New(site, seed) and calls Step(now, events) for every batch of events; Step gives the orders to carry out.
-// Site, events and orders live in package fleet. The module reads nothing else: no clock, no file, no net; the
-// same events give the same orders.
+// Site, events and orders live in package fleet. There is no clock, file or net: same events, same orders.
 package logic
 
 import (
@@ -14,33 +13,31 @@
 )
 
 const (
-	interval    = 2 * fleet.Second     // the design's shortest measurement interval; weights change once in it
-	heartbeat   = fleet.Second / 4     // alarm pace: an eighth of the interval, for joins and cold guards
-	writeGap    = 2 * fleet.Second / 5 // between messages to all: gathers what comes together
-	longLook    = 10 * fleet.Second    // five intervals: at some 30 tries chance is a fifth
-	shortLook   = 3 * fleet.Second     // a turn of reports and their delay: for what the whole fleet does
-	few         = 3                    // reports or failures that make a verdict: fewer are chance
-	enough      = 8                    // tries that make a mean; as many go unheard by chance 1 in 3000
-	keepSamples = 128                  // of a server: over two reports a second and zone within longLook
-	slack       = 1.1                  // target factor: asked density may pass the fleet's mean by a tenth
-	squeezeAt   = 1.3                  // part of its capacity asked of a fleet past which classes are squeezed
-	busyMost    = 0.74                 // busy share past which chance fills some servers
-	busySick    = 0.9                  // a server this busy is overloaded, so it is cut and not zeroed
-	busyLeast   = 0.05                 // a busy share below this tells nothing of capacity
-	lateFactor  = 1.5                  // the design's bound of late, over the best quiet latency
-	quarter     = 0.25                 // weight of fresh, returning, lowest halved servers; failed share of sick
-	third       = 1.0 / 3              // the design's most servers at zero; who handles less is no help
-	longestHold = 16 * fleet.Second    // doubling time at zero ends here, after 8 intervals
-	coldSafe    = 0.8                  // part of what a cold server surely can do that it is sent
-	leastWeight = 0.01                 // of the largest: keeps a line that can grow again
-	leastChange = 0.03                 // relative change of a line or level worth sending
-	tenth       = 0.1                  // of its visits each class keeps; a level rises by so much at a time
-	huge        = 1e6                  // visits a second at a proxy that stand for all; most lines may drift
-	pace        = 0.25                 // part of the stated channel pace to count on where no mark is answered
-	room        = 0.5                  // part of the backlog, and of a lone cold server's limit, to use
-	spareWrites = 5                    // messages to a proxy kept back for its joins
-	farPart     = 0.05                 // first weight of servers in other zones where connections are short
-	none        = 1e-9                 // a rate or weight below this is none
+	interval    = 2 * fleet.Second  // the design's shortest measurement interval; weights change once in it
+	heartbeat   = fleet.Second / 4  // alarm pace: an eighth of the interval; messages to all go every second one
+	longLook    = 10 * fleet.Second // five intervals: at some 30 tries chance is a fifth
+	shortLook   = 3 * fleet.Second  // a turn of reports and their delay: for what the whole fleet does
+	few         = 3                 // reports or failures that make a verdict: fewer are chance
+	enough      = 8                 // tries that make a mean; as many go unheard by chance 1 in 3000
+	keepSamples = 128               // of a server: over two reports a second and zone within longLook
+	slack       = 1.1               // target factor: asked density may pass the fleet's mean by a tenth
+	squeezeAt   = 1.3               // part of its capacity asked of a fleet past which classes are squeezed
+	busyMost    = 0.74              // busy share past which chance fills some servers
+	busySick    = 0.9               // a server this busy is overloaded, so it is cut and not zeroed
+	busyLeast   = 0.05              // a busy share below this tells nothing of capacity
+	lateFactor  = 1.5               // the design's bound of late, over the best quiet latency
+	quarter     = 0.25              // weight of fresh, returning, lowest halved servers; failed share of sick
+	third       = 1.0 / 3           // the design's most servers at zero; who handles less is no help
+	longestHold = 16 * fleet.Second // doubling time at zero ends here, after 8 intervals
+	coldSafe    = 0.8               // part of what a cold server surely can do that it is sent
+	leastWeight = 0.01              // of the largest: keeps a line that can grow again
+	leastChange = 0.03              // relative change of a line or level worth sending
+	tenth       = 0.1               // of its visits each class keeps; a level rises by so much at a time
+	huge        = 1e6               // visits a second at a proxy that stand for all; most lines may drift
+	pace        = 0.25              // part of the stated channel pace to count on where no mark is answered
+	room        = 0.5               // part of the backlog, and of a lone cold server's limit, to use
+	spareWrites = 5                 // messages to a proxy kept back for its joins
+	none        = 1e-9              // a rate or weight below this is none
 )
 
 // visitClass is what differs by class. Classes of a group share tables, one a zone: 0 is for all whose lines
@@ -53,8 +50,7 @@
 }
 
 type table struct {
-	group               int
-	zone                fleet.ZoneID
+	group, part         int
 	classes             fleet.ClassSet // that go by it
 	users, asked, lines float64        // proxies on it; visits a second that its classes let in; lines of a bind
 	total, warm, wanted float64        // of the lines ordered; of those wanted of warm servers, of all
@@ -81,12 +77,13 @@
 	held                      float64    // part of its weight that health leaves it, 0 to 1
 	capacity, rate            float64    // tries a second, ours only: at a busy share of 1; that we send
 	weight, want, out         []float64  // by table: the mechanism's, wanted out, ordered
+	part                      int        // the tables that it is first in
 	halved, refuge, withdrawn bool       // since it was last on time; takes squeezed classes only; ordered
 }
 
 type proxy struct {
 	id           fleet.ProxyID
-	zone         fleet.ZoneID
+	part         int        // the tables that it goes by
 	usual, heard float64    // visits a second, as told when it joined; the same once it was heard of
 	on           []int      // by class: its table of ours, -1: none yet
 	astray       bool       // is not on the tables it should be on
@@ -95,33 +92,33 @@
 
 // Governor decides for the proxies that are joined to it.
 type Governor struct {
-	site                     fleet.Site
-	chance                   chance
-	classes                  []visitClass
-	cheap                    []int // the classes, from the least value for its work up
-	tables                   []table
-	known                    map[fleet.ServerID]*server
-	joined                   map[fleet.ProxyID]*proxy
-	servers, ready           []*server  // by id: all known, those listed as ready
-	proxies                  []*proxy   // joined, by id
-	home                     []bool     // by zone: has joined proxies
-	busyAt                   int        // place of the busy share in load reports, or -1
-	near                     bool       // a server has fewer connections than there are proxies: near ones first
-	due, watching            bool       // an interval ends; no tables are laid yet
-	former, unbound          bool       // proxies that joined held tables of another; some are on none of ours
-	now, started, turn       fleet.Time // of this step, of the first; of the rationed reports
-	judged, admitted, newest fleet.Time // last judgement, last levels; newest report of tries
-	askAt, askWait           fleet.Time // when to ask for the list, 0: no; wait before it is asked again
-	wroteAt, pieceAt         fleet.Time // last message to all; when ordinary lines may go, 0: none wait
-	alarmAt, squeezeEnd      fleet.Time
-	countedAt                fleet.Time // when left was worked out
-	lines, left              float64    // put into the channel in all; of those surely gone from it
-	marks                    map[fleet.MarkID]float64
-	mark                     fleet.MarkID // the latest; marks has what lines were before each
-	target, load             float64      // busy share that agreed densities are made for; the fleet's mean
-	usual, least, failing    float64      // of a warm server's capacity: median, low quartile; failed share
-	retry                    fleet.Retry
-	orders                   []fleet.Order
+	site                      fleet.Site
+	chance                    chance
+	classes                   []visitClass
+	cheap                     []int // the classes, from the least value for its work up
+	tables                    []table
+	known                     map[fleet.ServerID]*server
+	joined                    map[fleet.ProxyID]*proxy
+	servers, ready            []*server  // by id: all known, those listed as ready
+	proxies                   []*proxy   // joined, by id
+	home                      []bool     // by zone: has joined proxies
+	busyAt                    int        // place of the busy share in load reports, or -1
+	near                      bool       // more proxies than a server has connections: each has a part
+	cells, parts              int        // parts a zone, to leave connections free; in all
+	due, watching             bool       // an interval ends; no tables are laid yet
+	former, astray            bool       // proxies joined with tables of another; some are not on ours
+	now, started, countedAt   fleet.Time // of this step, of the first; when left was worked out
+	judged, admitted, newest  fleet.Time // last judgement, last levels; newest report of tries
+	askAt, askWait            fleet.Time // when to ask for the list, 0: no; wait before it is asked again
+	wroteAt, pieceAt          fleet.Time // last message to all; when ordinary lines may go, 0: none wait
+	alarmAt, squeezeEnd, turn fleet.Time // the last of the rationed reports
+	lines, left               float64    // put into the channel in all; of those surely gone from it
+	marks                     map[fleet.MarkID]float64
+	mark                      fleet.MarkID // the latest; marks has what lines were before each
+	target, load              float64      // busy share to agree on; the fleet's mean
+	usual, least, failing     float64      // of warm capacity: median, low quartile; failed share
+	retry                     fleet.Retry
+	orders                    []fleet.Order
 }
 
 type chance struct{ x, carry uint32 } // a multiply-with-carry generator
@@ -139,10 +136,13 @@
 		known: map[fleet.ServerID]*server{}, marks: map[fleet.MarkID]float64{},
 		joined: map[fleet.ProxyID]*proxy{}, watching: true, target: busyMost,
 		busyAt: slices.Index(site.LoadFields, fleet.FieldBusy),
-		near:   site.ConnLeast > 0 && site.ConnLeast < float64(site.Proxies),
+		near:   cmp.Or(site.ConnLeast, huge) < float64(site.Proxies),
 	}
-	for t := range (2 + len(site.Classes)) * len(site.Zones) {
-		g.tables = append(g.tables, table{group: t / len(site.Zones), zone: fleet.ZoneID(t % len(site.Zones))})
+	zones := len(site.Zones)
+	g.cells = max(1, int(math.Ceil(slack*float64(site.Proxies)/float64(zones)/cmp.Or(site.ConnLeast, huge))))
+	g.parts = g.cells * zones
+	for t := range (2 + len(site.Classes)) * g.parts {
+		g.tables = append(g.tables, table{group: t / g.parts, part: t % g.parts})
 	}
 	for i, c := range site.Classes {
 		work := max(none, c.Expected.Seconds())
@@ -213,8 +213,8 @@
 	case fleet.Joined:
 		g.leave(e.Proxy)
 		n := len(g.classes)
-		p := &proxy{id: e.Proxy, zone: min(e.Zone, fleet.ZoneID(len(g.site.Zones)-1)), usual: max(none, e.Weight),
-			on: slices.Repeat([]int{-1}, n), usage: make([][]sample, n)}
+		p := &proxy{id: e.Proxy, usual: max(none, e.Weight), on: slices.Repeat([]int{-1}, n),
+			part: min(int(e.Zone), len(g.site.Zones)-1)*g.cells + int(e.Proxy)%g.cells, usage: make([][]sample, n)}
 		g.joined[p.id], g.proxies, g.alarmAt = p, append(g.proxies, p), g.now
 		g.former = g.former || !e.Fresh
 		slices.SortFunc(g.proxies, func(a, b *proxy) int { return cmp.Compare(a.id, b.id) })
@@ -276,21 +276,21 @@
 			n := len(g.tables)
 			s = &server{weight: make([]float64, n), want: make([]float64, n), out: make([]float64, n)}
 			g.known[entry.Server], g.servers = s, append(g.servers, s)
+			s.part = min(int(entry.Zone), len(g.site.Zones)-1)*g.cells + len(g.servers)%g.cells
 		}
 		anew := !known || entry.Started != s.Started || s.State == fleet.Gone && entry.State != fleet.Gone
 		s.Entry, listed[entry.Server] = entry, true
-		if s.Zone = min(s.Zone, fleet.ZoneID(len(g.site.Zones)-1)); !anew {
+		if !anew {
 			continue
 		}
-		// Nothing is known of one that starts, and unless it was up before we were it is fresh.
 		*s = server{Entry: s.Entry, weight: s.weight, want: s.want, out: s.out, withdrawn: s.withdrawn,
-			told: s.told, lastGood: g.now + interval, held: quarter}
-		if atStart && !g.cold(s) {
+			told: s.told, part: s.part, lastGood: g.now + interval, held: quarter}
+		if atStart && !g.cold(s) { // it was up before we were: not fresh
 			s.held = 1
 		}
 		for t, b := range g.tables {
-			if s.weight[t] = 1; g.near && s.Zone != b.zone {
-				s.weight[t] = farPart
+			if s.weight[t] = 1; g.near && s.part != b.part {
+				s.weight[t] = max(leastWeight, tenth/float64(g.parts))
 			}
 			if atStart && g.site.ListWeight != fleet.WeightNone && s.Weight > 0 {
 				s.weight[t] *= s.Weight
@@ -317,28 +317,28 @@
 func (g *Governor) carries(s *server) bool { return s.held > 0 && !s.refuge && !g.cold(s) }
 
 func (g *Governor) open(s *server, t int) bool {
-	return s.State == fleet.Ready && (g.tables[t].group < 2 || s.Zone == g.tables[t].zone)
+	return s.State == fleet.Ready && (g.tables[t].group < 2 || s.part/g.cells == g.tables[t].part/g.cells)
 }
 
-func (g *Governor) tableOf(c int, zone fleet.ZoneID) int {
+func (g *Governor) tableOf(c, part int) int {
 	row := &g.classes[c]
 	if row.group < 2 && !g.near {
-		zone = 0
+		part = 0
 	}
-	return row.group*len(g.site.Zones) + int(zone)
+	return row.group*g.parts + part
 }
 
 // count works out demand, what comes to each table and who is on it.
 func (g *Governor) count() {
 	lines := float64(len(g.proxies) * len(g.classes))
-	g.ready, g.home, g.unbound = nil, make([]bool, len(g.site.Zones)), false
+	g.ready, g.home, g.astray = nil, make([]bool, len(g.site.Zones)), false
 	for _, s := range g.servers {
 		if s.State == fleet.Ready {
 			g.ready = append(g.ready, s)
 		}
 	}
 	for t, b := range g.tables {
-		g.tables[t] = table{group: b.group, zone: b.zone}
+		g.tables[t] = table{group: b.group, part: b.part}
 		for _, s := range g.servers {
 			if s.out[t] > 0 || s.withdrawn {
 				g.tables[t].lines++
@@ -350,13 +350,13 @@
 	}
 	all, heard := none, none
 	for _, p := range g.proxies {
-		if !g.home[p.zone] {
+		if !g.home[p.part/g.cells] {
 			lines += float64(len(g.ready))
 		}
-		g.home[p.zone], p.astray, all, heard = true, false, all+p.usual, heard+p.heard
+		g.home[p.part/g.cells], p.astray, all, heard = true, false, all+p.usual, heard+p.heard
 		for c, t := range p.on {
-			g.unbound = g.unbound || t < 0
-			p.astray = p.astray || t != g.tableOf(c, p.zone)
+			p.astray = p.astray || t != g.tableOf(c, p.part)
+			g.astray = g.astray || p.astray
 			if t >= 0 && !slices.Contains(p.on[:c], t) {
 				g.tables[t].users++
 			}
@@ -365,14 +365,14 @@
 	g.turn = max(g.site.ReportEvery, fleet.Second.Scale(lines/max(1, g.site.ReportsPerS)))
 	for c := range g.classes {
 		row := &g.classes[c]
-		for z := range g.site.Zones {
-			g.tables[g.tableOf(c, fleet.ZoneID(z))].classes |= 1 << c
+		for part := range g.parts {
+			g.tables[g.tableOf(c, part)].classes |= 1 << c
 		}
 		row.demand = 0
 		for _, p := range g.proxies {
 			n := rate(p.usage[c]) * all / heard
 			row.demand += n
-			g.tables[g.tableOf(c, p.zone)].asked += n * row.level
+			g.tables[g.tableOf(c, p.part)].asked += n * row.level
 		}
 	}
 }
@@ -393,15 +393,15 @@
 			continue
 		}
 		s.quiet = min(cmp.Or(s.quiet, s.long.latency), s.long.latency)
-		if !s.refuge && !g.cold(s) && (!g.near || g.home[s.Zone]) {
+		if !s.refuge && !g.cold(s) && (!g.near || g.home[s.part/g.cells]) {
 			warm, kinds[s.Kind] = append(warm, s.long.capacity), append(kinds[s.Kind], s.long.capacity)
 		}
 	}
 	g.usual, g.least = cmp.Or(quantile(warm, 0.5), g.usual), cmp.Or(quantile(warm, quarter), g.least)
 	g.failing = (tries - good) / max(1, tries)
 	for _, s := range g.ready {
-		if s.capacity = cmp.Or(quantile(kinds[s.Kind], 0.5), g.usual); g.near && !g.home[s.Zone] {
-			s.capacity *= farPart // those others use; ours only as a help
+		if s.capacity = cmp.Or(quantile(kinds[s.Kind], 0.5), g.usual); g.near && !g.home[s.part/g.cells] {
+			s.capacity *= tenth // those others use; ours only as a help
 		}
 		if s.long.capacity > 0 {
 			s.capacity = (s.long.good + enough) / (s.long.good/s.long.capacity + enough/s.capacity)
@@ -454,12 +454,8 @@
 	return f
 }
 
-func (g *Governor) log(format string, args ...any) {
-	g.orders = append(g.orders, fleet.Log{Text: fmt.Sprintf(format, args...)})
-}
-
-// judge sets what health leaves each server of its weight. None is blamed for what the fleet does or its busy
-// share explains; who fails a part of its tries still helps, and is cut off only if the others can carry it.
+// judge sets what health leaves each server of its weight. None is blamed for what the fleet does; who fails
+// a part of its tries still helps, and is cut off only if the others can carry it.
 func (g *Governor) judge() {
 	zeroed, carry := 0.0, 0.0
 	for _, s := range g.ready {
@@ -482,8 +478,9 @@
 			if zeroed+1 <= float64(len(g.ready))*third {
 				s.held, zeroed = 0, zeroed+1
 			}
-			g.log("server %d cut off for %.0f s: silent %v, %.0f of %.0f tries failed",
-				s.Server, s.hold.Seconds(), silent, failed, s.long.tries)
+			g.orders = append(g.orders, fleet.Log{Text: fmt.Sprintf(
+				"server %d cut off for %.0f s: silent %v, %.0f of %.0f tries failed",
+				s.Server, s.hold.Seconds(), silent, failed, s.long.tries)})
 			s.samples = s.samples[:0]
 		case s.held == 0 && g.now >= s.zeroUntil:
 			s.held, s.lastGood = quarter, g.now+interval
@@ -491,7 +488,6 @@
 		case late:
 			if !s.halved && s.rate < s.capacity*g.target {
 				s.held, s.halved = max(quarter, s.held/2), true
-				g.log("server %d late by %.0f ms", s.Server, 1e3*(s.long.latency-s.quiet).Seconds())
 			}
 		default:
 			if s.held, s.halved = min(1, s.held+quarter), false; s.held == 1 {
@@ -587,21 +583,21 @@
 	if g.now < g.squeezeEnd || g.site.Admission != fleet.AdmitAll {
 		return // while it lasts the others' lighter mix tells too little of the load to end it
 	}
-	n, work, need, refuge, fits := float64(len(g.ready)), 0.0, 0.0, 0, load > squeezeAt
+	n, work, need, refuge := float64(len(g.ready)), 0.0, 0.0, 0
+	fits := load > squeezeAt || load > busySick && g.now < g.squeezeEnd+interval
 	for _, c := range g.classes {
 		work += c.demand * c.work
 	}
 	for i, id := range slices.Backward(g.cheap) {
 		c := &g.classes[id]
 		part := c.demand * c.work / work * load / busyMost
-		if fits = fits && i > 0 && need+part < 1-1/n; fits {
-			need += part
+		if fits = fits && i > 0 && (need == 0 || need+part < 1-tenth); fits {
+			need = min(need+part, 1-tenth)
 		}
-		if c.group > 1 {
-			continue
-		}
-		if c.group = 0; !fits && need > 0 {
+		if c.group < 2 && !fits && need > 0 {
 			c.group, refuge, g.squeezeEnd = 1, int(n-math.Ceil(need*n)), g.now+longestHold
+		} else if c.group < 2 {
+			c.group = 0
 		}
 	}
 	for _, s := range g.ready {
@@ -631,8 +627,7 @@
 	return huge
 }
 
-// wish works out the lines that should be out. Nobody goes bare: with no warm server left, all share. A
-// cold server gets less than it surely can do; alone it gets nothing where that could push it over.
+// wish works out the lines that should be out. Nobody goes bare: with no warm server left, all share.
 func (g *Governor) wish() {
 	for t := range g.tables {
 		b := &g.tables[t]
@@ -649,8 +644,7 @@
 			}
 		}
 	}
-	// A proxy keeps away from a server that failed it several times in a row: where most tries fail all crowd on
-	// the few that answer, whatever their weights, and a cold one must be out of the tables by then.
+	// Where most tries fail proxies crowd on the few that answer: a cold server must be out of the tables then.
 	crowd := max(0, 1-math.Pow(g.failing, cmp.Or(float64(g.site.OutlierAfter), huge))/tenth)
 	for _, s := range g.ready {
 		if !g.cold(s) || g.usual == 0 {
@@ -670,8 +664,7 @@
 	}
 }
 
-// reconcile emits the difference between what is wanted and what is out. What goes to all goes once in a gap,
-// so that troubles that come one by one don't use up the messages.
+// reconcile emits the difference between what is wanted and what is out.
 func (g *Governor) reconcile() {
 	g.left = min(g.lines, g.left+(g.now-g.countedAt).Seconds()*g.site.LinesPerS*pace)
 	if g.countedAt = g.now; g.alarmAt <= g.now {
@@ -690,7 +683,7 @@
 		return
 	}
 	most := max(1, cmp.Or(g.site.MessagesMost, huge)-spareWrites)
-	gap := max(writeGap, g.site.MessagesOver/fleet.Time(most))
+	gap := max(2*heartbeat, g.site.MessagesOver/fleet.Time(most))
 	before := g.lines
 	if g.now >= g.wroteAt+gap {
 		g.publish()
@@ -701,19 +694,22 @@
 	}
 }
 
-// head gives the lines that each message has beside its own: the site's, the levels for all and a mark.
-func (g *Governor) head() float64 { return g.site.MessageHead + float64(len(g.classes)) + 1 }
+func (g *Governor) waiting() float64 { // lines neither known to have arrived nor on their way
+	return max(0, g.lines-g.left-g.site.Travel.Seconds()*g.site.LinesPerS)
+}
+
+func (g *Governor) head() float64 { return g.site.MessageHead + float64(len(g.classes)) + 1 } // and a mark
 
-// publish emits what goes to all. Withdrawals, cold servers and bare tables need no room. Ordinary lines go
-// once an interval, the largest changes first; what the channel has no room for follows in pieces.
+// publish emits what goes to all. Urgent lines need no room; ordinary ones go once an interval, the largest
+// changes first, and what the channel has no room for follows in pieces.
 func (g *Governor) publish() {
 	users := float64(len(g.proxies))
-	fit := room*g.site.BacklogMost - (g.lines - g.left) - g.head()*users
+	fit := room*g.site.BacklogMost - g.waiting() - g.head()*users
 	spare := quarter*float64(len(g.servers)) - float64(len(g.servers)-len(g.ready))
 	for _, s := range g.servers {
 		// Standing tables send to cold servers as to all others, so some stay out until no proxy goes by one.
 		out := s.State != fleet.Ready
-		if !out && g.unbound && g.cold(s) && spare > 1 {
+		if !out && g.astray && g.cold(s) && spare > 1 {
 			out, spare = true, spare-1
 		}
 		if out != s.withdrawn && (out || fit > users) {
@@ -734,24 +730,24 @@
 	for t, b := range g.tables {
 		scale := []float64{}
 		for _, s := range g.servers {
-			if s.out[t] > 0 && s.want[t] > 0 {
-				scale = append(scale, s.out[t]/s.want[t])
+			if ratio := s.out[t] / max(s.want[t], none); ratio > 1/huge && ratio < huge {
+				scale = append(scale, ratio)
 			}
 		}
 		unit := cmp.Or(quantile(scale, 0.5), 1)
-		if unit > huge || unit < 1/huge {
-			unit = 1
-		}
 		for _, s := range g.servers {
 			w, o := s.want[t]*unit, s.out[t]
-			l := fleet.Share{Table: fleet.TableID(t), Server: s.Server, Weight: float32(w)}
-			if size[l] = math.Abs(w-o) / unit; s.withdrawn {
-				size[l] = none
-			} else if b.total == 0 || g.cold(s) && o > slack*w {
-				size[l] += huge
+			change, idle := math.Abs(w-o), b.total > 0 || b.users == 0
+			small := o == 0 && change < tenth*unit && idle && (g.watching || g.astray) // these would make joins dear
+			urgent := !s.withdrawn && (b.total == 0 || g.cold(s) && o > slack*w)
+			if w == o || w > 0 && change <= leastChange*o || small || !ordinary && !urgent {
+				continue
 			}
-			if w != o && (w == 0 || math.Abs(w-o) > leastChange*o) && (ordinary || size[l] > huge) {
-				lines = append(lines, l)
+			l := fleet.Share{Table: fleet.TableID(t), Server: s.Server, Weight: float32(w)}
+			if lines = append(lines, l); urgent {
+				size[l] = huge + change/unit
+			} else if !s.withdrawn {
+				size[l] = change / unit
 			}
 		}
 	}
@@ -784,17 +780,21 @@
 	for _, p := range astray {
 		binds, lines := []fleet.Order{}, g.head()
 		for t, b := range g.tables {
-			if b.classes != 0 && (b.zone == p.zone || b.group < 2 && !g.near) {
+			astray := false
+			for c, on := range p.on {
+				astray = astray || b.classes&(1<<c) != 0 && on != t && g.tableOf(c, p.part) == t
+			}
+			if astray {
 				binds = append(binds, fleet.Bind{Proxy: p.id, Table: fleet.TableID(t), Classes: b.classes})
 				lines += 1 + b.lines
 			}
 		}
-		if g.watching || g.lines > g.left && g.lines-g.left+lines > room*room*g.site.BacklogMost {
+		if g.watching || g.waiting() > 0 && g.waiting()+lines > room*room*g.site.BacklogMost {
 			continue
 		}
 		g.lines, g.orders = g.lines+lines, append(g.orders, binds...)
 		for c := range p.on {
-			p.on[c] = g.tableOf(c, p.zone)
+			p.on[c] = g.tableOf(c, p.part)
 		}
 	}
 }
