--- a/logic/logic.go
+++ b/logic/logic.go
@@ -90,8 +90,7 @@
 	usage        [][]sample // by class
 }
 
-// Governor decides for the proxies that are joined to it.
-type Governor struct {
+type Governor struct { // decides for the proxies that are joined to it
 	site                      fleet.Site
 	chance                    chance
 	classes                   []visitClass
@@ -129,7 +128,6 @@
 	return float64(c.x) / (1 << 32)
 }
 
-// New makes a governor for a site.
 func New(site fleet.Site, seed uint64) *Governor {
 	g := &Governor{
 		site: site, chance: chance{uint32(seed) | 1, uint32(seed>>33) | 1}, askWait: 2 * heartbeat, started: -1,
@@ -261,7 +259,6 @@
 	g.proxies = slices.DeleteFunc(g.proxies, func(p *proxy) bool { return p.id == id })
 }
 
-// list follows the list of servers. A server that a full list lacks is gone.
 func (g *Governor) list(e fleet.List) {
 	if e.Scope == fleet.ListFailed {
 		g.askAt = g.now + g.askWait.Scale(0.5+g.chance.next())
@@ -343,7 +340,7 @@
 			if s.out[t] > 0 || s.withdrawn {
 				g.tables[t].lines++
 			}
-			if s.State == fleet.Ready {
+			if s.State == fleet.Ready && !s.withdrawn {
 				g.tables[t].total += s.out[t]
 			}
 		}
@@ -554,7 +551,11 @@
 			carry += min(1, s.held+quarter) * g.can(s)
 		}
 		if g.carries(s) && s.short.busy >= 0 {
-			handled, busy = handled+s.short.handled, busy+s.short.busy
+			part := 1.0
+			if s.short.busy < busySick && g.site.Admission != fleet.AdmitAll { // fails while idle: no want of it
+				part = s.short.tries / max(1, s.short.good)
+			}
+			handled, busy = handled+s.short.handled*part, busy+s.short.busy
 		}
 	}
 	for _, c := range g.classes {
@@ -607,8 +608,7 @@
 	}
 }
 
-// amount gives a class's level in the site's unit: a share, or the rate at each proxy that lets in as much.
-func (g *Governor) amount(class int) float64 {
+func (g *Governor) amount(class int) float64 { // its level: a share, or a rate at each proxy
 	c, rates := g.classes[class], []float64{}
 	if g.site.Admission == fleet.AdmitShare && c.level < 1 {
 		return c.level
