--- a/logic/logic.go
+++ b/logic/logic.go
@@ -547,7 +547,7 @@
 func (g *Governor) admit() {
 	handled, busy, carry, demand := 0.0, 0.0, 0.0, 0.0
 	for _, s := range g.ready {
-		if s.held > 0 {
+		if s.held > 0 && (s.rate > none || g.watching) {
 			carry += min(1, s.held+quarter) * g.can(s)
 		}
 		if g.carries(s) && s.short.busy >= 0 {
