--- a/logic/logic.go
+++ b/logic/logic.go
@@ -720,7 +720,7 @@
 	for c := range g.classes {
 		l, out := fleet.Level{Table: fleet.EveryTable, Classes: 1 << c, Retry: g.retry}, &g.classes[c].out
 		l.Amount = float32(g.amount(c))
-		if math.Abs(float64(l.Amount/out.Amount-1)) > leastChange || l.Retry != out.Retry {
+		if math.Abs(float64(l.Amount/out.Amount-1)) > tenth || l.Retry != out.Retry {
 			*out = l
 			g.toAll(l, users)
 		}
