Bound parts to eight a zone; take a site without zones as one

More parts than that cost CPU on sites far larger than today's and gain nothing; a start message that names no zones no longer divides by them.

--- a/internal/wire/site.go
+++ b/internal/wire/site.go
@@ -122,6 +122,9 @@
 		GoneDoesNot:    o.Rules.RemovalNotBinding,
 		WorstClassPay:  o.Goal.WorstClass, WholePay: o.Goal.Whole,
 	}
+	if len(s.Zones) == 0 {
+		s.Zones = []string{""} // a site that names no zones is one
+	}
 	for _, name := range o.Report.Fields {
 		s.LoadFields = append(s.LoadFields, loadFields[name])
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -136,9 +136,9 @@
 		busyAt: slices.Index(site.LoadFields, fleet.FieldBusy),
 		near:   cmp.Or(site.ConnLeast, huge) < float64(site.Proxies),
 	}
-	zones := len(site.Zones)
-	g.cells = max(1, int(math.Ceil(slack*float64(site.Proxies)/float64(zones)/cmp.Or(site.ConnLeast, huge))))
-	g.parts = g.cells * zones
+	each := slack * float64(site.Proxies) / float64(len(site.Zones))
+	g.cells = int(max(1, min(enough, math.Ceil(each/cmp.Or(site.ConnLeast, huge)))))
+	g.parts = g.cells * len(site.Zones)
 	for t := range (2 + len(site.Classes)) * g.parts {
 		g.tables = append(g.tables, table{group: t / g.parts, part: t % g.parts})
 	}
