--- a/logic/logic.go
+++ b/logic/logic.go
@@ -217,7 +217,7 @@
 		g.former = g.former || !e.Fresh
 		slices.SortFunc(g.proxies, func(a, b *proxy) int { return cmp.Compare(a.id, b.id) })
 		for _, s := range g.servers { // one that must wait for its table has not heard of these
-			s.withdrawn = s.withdrawn && g.now > s.told+longestHold
+			s.withdrawn = s.withdrawn && g.now > s.told+few*interval
 		}
 	case fleet.Left:
 		g.leave(e.Proxy)
@@ -712,7 +712,7 @@
 		if !out && g.astray && g.cold(s) && spare > 1 {
 			out, spare = true, spare-1
 		}
-		if out != s.withdrawn && (out || fit > users) {
+		if out != s.withdrawn && (fit > users || out && fit-users > -(room-tenth/2)*g.site.BacklogMost) {
 			s.withdrawn, s.told, fit = out, g.now, fit-users
 			g.toAll(fleet.Withdraw{Server: s.Server, Out: out}, users)
 		}
@@ -757,7 +757,7 @@
 	slices.SortStableFunc(lines, func(a, b fleet.Share) int { return cmp.Compare(size[b], size[a]) })
 	for _, l := range lines {
 		on := g.tables[l.Table].users
-		if fit -= on; on > 0 && fit < 0 && (size[l] < huge || fit < -quarter*g.site.BacklogMost) {
+		if fit -= on; on > 0 && fit < 0 && (size[l] < huge || fit < -(quarter+tenth)*g.site.BacklogMost) {
 			g.pieceAt = g.now + interval/2
 			continue
 		}
