--- /dev/null
+++ b/runtimeapi/runtimeapi_test.go
@@ -0,0 +1,201 @@
+package runtimeapi
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// feed takes a stream in two pieces, cut at the given byte.
+func feed(t *testing.T, text string, cut int) (lines [][]string, err error) {
+	t.Helper()
+	var r Requests
+	for _, piece := range []string{text[:cut], text[cut:]} {
+		err = r.Feed([]byte(piece), func(commands []Command) error {
+			for _, c := range commands {
+				words := append([]string(nil), c.Words...)
+				if c.Payload != nil {
+					words = append(words, "payload="+string(c.Payload))
+				}
+				lines = append(lines, words)
+			}
+			return nil
+		})
+	}
+	return lines, err
+}
+
+func TestRequestsSurviveAnySplit(t *testing.T) {
+	text := "show stat; set weight be/n1 12\r\n\n add map #1 a\\ b c\\;d\\\\ <<\nk1 v 1\nk2 ;v2\n\n" +
+		"set map m k <<END\nx\n\ny\nEND\nquit\n"
+	want := [][]string{{"show", "stat"}, {"set", "weight", "be/n1", "12"},
+		{"add", "map", "#1", "a b", "c;d\\", "payload=k1 v 1\nk2 ;v2\n"},
+		{"set", "map", "m", "k", "payload=x\n\ny\n"}, {"quit"}}
+	for cut := range len(text) + 1 {
+		if got, err := feed(t, text, cut); err != nil || !reflect.DeepEqual(got, want) {
+			t.Fatalf("cut at byte %d: %v, %q", cut, err, got)
+		}
+	}
+}
+
+func TestRequestsNameTheBadByte(t *testing.T) {
+	for text, at := range map[string]int64{
+		"show info\nset\x01 weight\n":                                  13,
+		"ab\n" + strings.Repeat("x", LineMost+1):                       3 + LineMost,
+		"x" + strings.Repeat(" y", WordsMost+1) + "\n":                 1 + 2*WordsMost,
+		"a b <<\n" + strings.Repeat(strings.Repeat("z", 8000)+"\n", 3): 7 + 2*8001,
+	} {
+		_, err := feed(t, text, len(text)/2)
+		var syntax *SyntaxError
+		if !errors.As(err, &syntax) || syntax.At != at {
+			t.Errorf("%.20q: %v, want byte %d", text, err, at)
+		}
+	}
+}
+
+func TestAnswersSurviveAnySplit(t *testing.T) {
+	stream := "\n> New server registered.\n\n> \n> # a,b\n1,2\n\n> > \n"
+	want := []string{"", "New server registered.\n", "", "# a,b\n1,2\n", ""}
+	for cut := range len(stream) + 1 {
+		for second := cut; second <= len(stream); second += 3 {
+			var a Answers
+			var got []string
+			for _, piece := range []string{stream[:cut], stream[cut:second], stream[second:]} {
+				if err := a.Feed([]byte(piece), func(b []byte) error { got = append(got, string(b)); return nil }); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if !reflect.DeepEqual(got, want) {
+				t.Fatalf("cut at %d and %d: %q", cut, second, got)
+			}
+		}
+	}
+}
+
+func TestSessionModes(t *testing.T) {
+	echo := func(c Command) []byte { return []byte(strings.Join(c.Words, "+") + "\n") }
+	for _, c := range []struct {
+		in, out string
+		done    bool
+	}{
+		{"show info;show stat\n", "show+info\n\nshow+stat\n\n", true},
+		{"prompt\nshow info\n", "\n> show+info\n\n> ", false},
+		{"prompt i\nshow info\nquit\nshow info\n", "\nshow+info\n\n", true},
+		{"prompt\nset\x02\n", "\n> Can't read the request: byte 10: the control character 0x02.\n\n", true},
+	} {
+		s := Session{Answer: echo}
+		var out []byte
+		done := false
+		for _, b := range []byte(c.in) {
+			reply, end := s.Feed([]byte{b})
+			if out = append(out, reply...); end {
+				done = true
+				break
+			}
+		}
+		if string(out) != c.out || done != c.done {
+			t.Errorf("%q: %q, done %v", c.in, out, done)
+		}
+	}
+}
+
+func TestTablesRoundTrip(t *testing.T) {
+	stat := Stat{Proxy: []byte("look"), Server: []byte("n1"), Sessions: 12, Held: 2, Denied: 1, ConnFailed: 3,
+		RespFailed: 4, Retries: 5, Weight: 256, Good: 6, Errors: 7}
+	text := AppendStat(AppendStatHeader(nil), &stat)
+	if err := ReadStat(text, func(s *Stat) error {
+		if !reflect.DeepEqual(*s, stat) {
+			t.Errorf("stat %+v", *s)
+		}
+		return nil
+	}); err != nil {
+		t.Error(err)
+	}
+	state := ServerState{Backend: []byte("look"), Server: []byte("n1"), Addr: []byte("127.0.0.1"), Port: 8001,
+		Operational: 2, Admin: AdminDrain, Weight: 17}
+	text = AppendServerState(AppendServersStateHeader(nil), 3, 1, &state)
+	if err := ReadServersState(text, func(s *ServerState) error {
+		if !reflect.DeepEqual(*s, state) {
+			t.Errorf("state %+v", *s)
+		}
+		return nil
+	}); err != nil {
+		t.Error(err)
+	}
+	tracked := Tracked{Key: []byte("n1"), GoodMs: 1234, Good: 9, Load: [4]uint64{1, 2, 3, 4}, HasLoad: true}
+	if err := ReadTable(AppendTracked([]byte("# table: nodes, type: string, size:1024, used:1\n"), 7, &tracked),
+		func(row *Tracked) error {
+			if !reflect.DeepEqual(*row, tracked) {
+				t.Errorf("table %+v", *row)
+			}
+			return nil
+		}); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestGarbageNamesLineAndColumn(t *testing.T) {
+	stat := string(AppendStatHeader(nil))
+	for _, c := range []struct {
+		read func() error
+		want string
+	}{
+		{func() error { return ReadStat([]byte("<html>\n"), nil) }, "line 1: no header"},
+		{func() error { return ReadStat([]byte(stat+"a,b,-1\n"), nil) }, `line 2: column "scur": "-1" is no count`},
+		{func() error { return ReadStat([]byte(stat+"a,b,1\n"), nil) }, `line 2: column "stot" is missing`},
+		{func() error { return ReadStat([]byte("# pxname,svname\n"), nil) }, `line 1: no column "scur"`},
+		{func() error { return ReadServersState([]byte("2\n"), nil) }, "line 1: format"},
+		{func() error { return ReadServersState([]byte("1\n# a b\n"), nil) }, `line 2: no column "be_name"`},
+		{func() error { return ReadMap([]byte("0x1 a b\nnonsense\n"), func(_, _ []byte) error { return nil }) }, "line 2:"},
+		{func() error { return ReadTable([]byte("0x1: key=a gpc0=x\n"), nil) }, "line 1: gpc0"},
+		{func() error { return ReadPairs([]byte("no pair\n"), nil) }, "line 1:"},
+	} {
+		if err := c.read(); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%v, want %q", err, c.want)
+		}
+	}
+}
+
+// FuzzRequests: whatever comes, in whatever pieces, gives the same commands as in one piece, and what is
+// printed from them reads back the same.
+func FuzzRequests(f *testing.F) {
+	f.Add([]byte("show stat;set weight a/b 3\n"), 3)
+	f.Add([]byte("add map #1 <<\nk v\n\nprompt\n"), 14)
+	f.Add([]byte("a\\\\\\ b;;; c\\;\n\x00"), 5)
+	f.Fuzz(func(t *testing.T, text []byte, cut int) {
+		cut = max(0, min(len(text), cut))
+		whole, wholeErr := feed(t, string(text), len(text))
+		pieces, piecesErr := feed(t, string(text), cut)
+		if !reflect.DeepEqual(whole, pieces) || fmt.Sprint(wholeErr) != fmt.Sprint(piecesErr) {
+			t.Fatalf("in one piece %q (%v), cut at %d %q (%v)", whole, wholeErr, cut, pieces, piecesErr)
+		}
+		for _, words := range whole {
+			line := AppendCommand(nil, words...)
+			if bytes.ContainsAny(line, "\n\x00") || len(words) > WordsMost {
+				continue // a payload
+			}
+			again, err := Split(line, 0)
+			if err != nil || len(again) != 1 || !reflect.DeepEqual(again[0].Words, words) {
+				t.Fatalf("%q printed as %q reads %v (%v)", words, line, again, err)
+			}
+		}
+	})
+}
+
+func BenchmarkReadStat(b *testing.B) {
+	text := AppendStatHeader(nil)
+	for i := range 2100 {
+		text = AppendStat(text, &Stat{Proxy: []byte("slot-look"), Server: fmt.Appendf(nil, "node-%03d", i),
+			Sessions: uint64(i) * 977, Good: uint64(i) * 960, Weight: 100})
+	}
+	b.SetBytes(int64(len(text)))
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := ReadStat(text, func(*Stat) error { return nil }); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
