--- /dev/null
+++ b/front/haproxy/front.go
@@ -0,0 +1,227 @@
+// Package haproxy is the front that dials each proxy's runtime socket and speaks the text protocol of package
+// runtimeapi, as the management guide of HAProxy publishes it. It carries out messages and reads counters; what
+// to send, when, and what to make of an answer's absence is decided in packages steer and reports.
+package haproxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/maphash"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+
+	"cressknot/fleet"
+	"cressknot/front"
+	"cressknot/steer"
+)
+
+// Options say how the proxies are set up; docs/operate/proxies.md has their side of it.
+type Options struct {
+	Proxies   []front.Proxy
+	Classes   []front.Class
+	Map       string // file or #id of the map that holds levels
+	Table     string // stick table that holds what answers told, "" for none
+	Admission fleet.Admission
+	Names     front.Names
+	Pollers   int // event loops of sockets; 0: the library's own choice
+}
+
+// Front is the front over runtime sockets.
+type Front struct {
+	opt      Options
+	engine   *nbio.Engine
+	backends map[string]fleet.ClassID
+	links    map[fleet.ProxyID]*link
+	sink     front.Sink
+	ctx      context.Context
+	cancel   context.CancelFunc
+	dials    sync.WaitGroup
+	streams  atomic.Uint64
+	stopping atomic.Bool
+}
+
+var _ front.Front = (*Front)(nil)
+
+// link is the standing relation to one proxy; its sessions come and go.
+type link struct {
+	front  *Front
+	proxy  front.Proxy
+	redial steer.Redial // of the dialing goroutine only
+
+	mu      sync.Mutex
+	current *session
+	kick    chan struct{} // the session is over
+}
+
+// New makes a front. It dials nobody before Start.
+func New(opt Options) *Front {
+	logging.DefaultLogger = quiet{}
+	f := &Front{opt: opt, backends: map[string]fleet.ClassID{}, links: map[fleet.ProxyID]*link{}}
+	for i, c := range opt.Classes {
+		f.backends[c.Backend] = fleet.ClassID(i)
+	}
+	for _, p := range opt.Proxies {
+		f.links[p.ID] = &link{front: f, proxy: p, kick: make(chan struct{}, 1),
+			redial: steer.NewRedial(maphash.String(maphash.MakeSeed(), p.Name))}
+	}
+	return f
+}
+
+type quiet struct{} // the library's own log; what matters comes as errors
+
+func (quiet) SetLevel(int)         {}
+func (quiet) Debug(string, ...any) {}
+func (quiet) Info(string, ...any)  {}
+func (quiet) Warn(string, ...any)  {}
+func (quiet) Error(string, ...any) {}
+
+// Start dials all proxies and keeps dialing until Stop.
+func (f *Front) Start(ctx context.Context, sink front.Sink) error {
+	f.sink = sink
+	f.ctx, f.cancel = context.WithCancel(ctx)
+	f.engine = nbio.NewEngine(nbio.Config{Name: "runtime", NPoller: f.opt.Pollers, ReadBufferSize: 64 << 10,
+		MaxWriteBufferSize: 64 << 20})
+	f.engine.OnData(func(c *nbio.Conn, data []byte) {
+		if s, ok := c.Session().(*session); ok {
+			s.feed(data)
+		}
+	})
+	f.engine.OnClose(func(c *nbio.Conn, err error) {
+		if s, ok := c.Session().(*session); ok {
+			s.closed(err)
+		}
+	})
+	if err := f.engine.Start(); err != nil {
+		return fmt.Errorf("starting the event loops: %w", err)
+	}
+	for _, l := range f.links {
+		f.dials.Add(1)
+		go l.run()
+	}
+	return nil
+}
+
+// network tells a Unix socket's path from host:port.
+func network(addr string) string {
+	if strings.Contains(addr, "/") {
+		return "unix"
+	}
+	return "tcp"
+}
+
+// run dials the proxy, waits for the session's end, and dials again.
+func (l *link) run() {
+	f := l.front
+	defer f.dials.Done()
+	dialer := net.Dialer{Timeout: time.Duration(steer.DialWithin)}
+	for f.ctx.Err() == nil {
+		conn, err := dialer.DialContext(f.ctx, network(l.proxy.Addr), l.proxy.Addr)
+		if err == nil {
+			err = l.open(conn)
+		}
+		if err == nil {
+			select {
+			case <-l.kick:
+			case <-f.ctx.Done():
+				return
+			}
+		}
+		wait := time.NewTimer(time.Duration(l.redial.Failed()))
+		select {
+		case <-wait.C:
+		case <-f.ctx.Done():
+		}
+		wait.Stop()
+	}
+}
+
+// open begins a session on a new connection.
+func (l *link) open(conn net.Conn) error {
+	c, err := nbio.NBConn(conn)
+	if err != nil {
+		conn.Close()
+		return fmt.Errorf("proxy %s: %w", l.proxy.Name, err)
+	}
+	s := &session{link: l, conn: c, stream: l.front.streams.Add(1), keys: map[string]bool{}}
+	c.SetSession(s)
+	l.mu.Lock()
+	l.current = s
+	l.mu.Unlock()
+	if _, err := l.front.engine.AddConn(c); err != nil {
+		c.Close()
+		return fmt.Errorf("proxy %s: %w", l.proxy.Name, err)
+	}
+	s.begin()
+	return nil
+}
+
+func (f *Front) session(id fleet.ProxyID) *session {
+	l := f.links[id]
+	if l == nil {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.current
+}
+
+// Send carries a message over the proxy's present session.
+func (f *Front) Send(m steer.Message) {
+	if s := f.session(m.Proxy); s != nil {
+		s.send(m)
+	}
+}
+
+// Poll asks a proxy for its counters.
+func (f *Front) Poll(id fleet.ProxyID) {
+	if s := f.session(id); s != nil {
+		s.poll()
+	}
+}
+
+var errDropped = errors.New("broken off by the governor")
+
+// Drop breaks the session of a proxy.
+func (f *Front) Drop(id fleet.ProxyID) {
+	if s := f.session(id); s != nil {
+		s.end(errDropped)
+	}
+}
+
+// Stop waits until what was sent is answered, for as long as the context stands, then closes all sessions.
+func (f *Front) Stop(ctx context.Context) error {
+	f.stopping.Store(true)
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for f.busy() && ctx.Err() == nil {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+		}
+	}
+	f.cancel()
+	f.dials.Wait()
+	for id := range f.links {
+		f.Drop(id)
+	}
+	if err := f.engine.Shutdown(context.WithoutCancel(ctx)); err != nil {
+		return fmt.Errorf("closing the event loops: %w", err)
+	}
+	return ctx.Err()
+}
+
+func (f *Front) busy() bool {
+	for id := range f.links {
+		if s := f.session(id); s != nil && s.outstanding() {
+			return true
+		}
+	}
+	return false
+}
--- a/runtimeapi/request.go
+++ b/runtimeapi/request.go
@@ -127,16 +127,21 @@
 		words = nil
 	}
 	for i := 0; i < len(text); i++ {
-		switch c := text[i]; {
-		case c == '\\' && i+1 < len(text):
+		c := text[i]
+		kept := c == '\\' && i+1 < len(text)
+		if kept {
 			i++
-			word, begun = append(word, text[i]), true
-		case c == ' ' || c == '\t':
+			c = text[i]
+		}
+		switch {
+		case c < ' ' || c == 0x7f: // kept or not: no word printed again could carry it
+			return nil, &SyntaxError{at + int64(i), fmt.Sprintf("the control character %#02x", c)}
+		case kept:
+			word, begun = append(word, c), true
+		case c == ' ':
 			endWord()
 		case c == ';':
 			endCommand()
-		case c < ' ' || c == 0x7f:
-			return nil, &SyntaxError{at + int64(i), fmt.Sprintf("the control character %#02x", c)}
 		default:
 			word, begun = append(word, c), true
 		}
@@ -153,7 +158,7 @@
 // AppendWord appends a word with what must be kept from being read as syntax.
 func AppendWord(dst []byte, word string) []byte {
 	for i := range len(word) {
-		if c := word[i]; c == ' ' || c == ';' || c == '\\' || c == '\t' {
+		if c := word[i]; c == ' ' || c == ';' || c == '\\' {
 			dst = append(dst, '\\')
 		}
 		dst = append(dst, word[i])
--- /dev/null
+++ b/steer/channel.go
@@ -0,0 +1,399 @@
+package steer
+
+import (
+	"cmp"
+	"slices"
+
+	"cressknot/fleet"
+)
+
+// The channel: all that leaves goes through one queue at the stated pace, first in first out. What a message
+// holds is worked out when it is written, from what is wanted then; so a weight that waits is replaced by a newer
+// one, and withdrawals and cold guards of a proxy overtake its ordinary lines.
+
+func (p *Plane) cost(b *parcel) float64 {
+	n := float64(b.lines) + p.site.MessageHead
+	if b.marked {
+		n++
+	}
+	return n
+}
+
+// send puts one message to a proxy into the channel.
+func (p *Plane) send(now fleet.Time, x *proxy, lines int, mark *fleet.Mark) *parcel {
+	b := &parcel{proxy: x, lines: lines, ordered: now}
+	if mark != nil {
+		b.mark, b.marked = mark.ID, true
+	}
+	if lines == 0 && mark == nil {
+		return b
+	}
+	p.seq++
+	b.seq, b.before = p.seq, p.seq
+	p.queue, p.open = append(p.queue, b), append(p.open, b)
+	p.waiting += p.cost(b)
+	x.queued++
+	return b
+}
+
+// Next gives the messages that may leave by now, the events that the module is to hear, the proxies whose
+// streams are to be broken because nothing comes back from them, and when to call again (0: when something
+// happens).
+func (p *Plane) Next(now fleet.Time) (out []Message, events []fleet.Event, drops []fleet.ProxyID, wake fleet.Time) {
+	p.sweep(now)
+	p.stuck(now)
+	p.pace(now)
+	for _, x := range p.order {
+		if x.retryAt > 0 && now >= x.retryAt {
+			x.retryAt = 0
+			for _, k := range x.failed {
+				p.touch(x, k, true)
+				x.allowed++
+			}
+			x.failed = x.failed[:0]
+		}
+		if x.queued == 0 && len(x.due) == 0 && x.retryAt == 0 { // the last one takes along what is left over
+			x.allowed = max(x.allowed, len(x.pending))
+		}
+		for len(x.flying) < window && (len(x.due) > 0 || x.allowed > 0 && len(x.pending) > 0) {
+			if m, ok := p.write(now, x); ok {
+				out = append(out, m)
+			}
+		}
+	}
+	p.settle()
+	soon := func(at fleet.Time) {
+		if at > 0 && (wake == 0 || at < wake) {
+			wake = at
+		}
+	}
+	if p.head < len(p.queue) {
+		need := p.cost(p.queue[p.head]) - p.credit
+		soon(now + max(fleet.Millisecond, fleet.Second.Scale(min(need, 1)/max(1, p.site.LinesPerS))))
+	}
+	for _, x := range p.order {
+		soon(x.retryAt)
+		if len(x.flying) > 0 {
+			soon(x.heard + p.stuckAfter())
+			if slow := x.flying[0].left + p.slowAfter(); slow > now {
+				soon(slow)
+			}
+		}
+	}
+	events, p.events = p.events, nil
+	drops, p.drops = p.drops, nil
+	return out, events, drops, wake
+}
+
+// pace lets messages leave the queue as the stated lines a second allow.
+func (p *Plane) pace(now fleet.Time) {
+	if p.paced < 0 {
+		p.paced = now
+	}
+	most := max(1, burst.Seconds()*p.site.LinesPerS)
+	p.credit = min(most, p.credit+max(0, (now-p.paced).Seconds())*p.site.LinesPerS)
+	p.paced = max(p.paced, now) // a clock that goes back lets nothing leave twice
+	for p.head < len(p.queue) {
+		b := p.queue[p.head]
+		if b.gone {
+			p.queue[p.head] = nil
+			p.head++
+			continue
+		}
+		// A message longer than a burst leaves when the credit is positive and is paid back after.
+		if need := p.cost(b); p.credit < min(need, most) {
+			break
+		}
+		p.credit -= p.cost(b)
+		p.waiting -= p.cost(b)
+		b.left = now
+		b.proxy.queued--
+		b.proxy.due = append(b.proxy.due, b)
+		b.proxy.allowed += b.lines
+		p.queue[p.head] = nil
+		p.head++
+	}
+	if p.head > len(p.queue)/2 {
+		p.queue = slices.Delete(p.queue, 0, p.head)
+		p.head = 0
+	}
+}
+
+// write works out the next message to a proxy: all that is urgent, then ordinary lines whose time has come.
+func (p *Plane) write(now fleet.Time, x *proxy) (Message, bool) {
+	b := &parcel{proxy: x, ordered: now, left: now, done: true}
+	if len(x.due) > 0 {
+		b = x.due[0]
+		x.due = slices.Delete(x.due, 0, 1)
+	}
+	take := func(keys []key, urgent bool, most int) []key {
+		n := 0
+		for ; n < len(keys) && most > 0; n++ {
+			if k := keys[n]; x.pending[k] == urgent && pendingHas(x, k) {
+				delete(x.pending, k)
+				before := len(b.changes)
+				b.changes = p.difference(b.changes, x, k)
+				for range len(b.changes) - before {
+					b.keys = append(b.keys, k)
+				}
+				most--
+				x.allowed--
+			}
+		}
+		return slices.Delete(keys, 0, n)
+	}
+	x.urgent = take(x.urgent, true, max(1, len(x.urgent)))
+	x.ordinary = take(x.ordinary, false, x.allowed)
+	if x.allowed = max(0, x.allowed); len(x.pending) == 0 {
+		x.allowed, x.urgent, x.ordinary = 0, x.urgent[:0], x.ordinary[:0]
+	}
+	if len(b.changes) == 0 { // nothing differs any more: as if answered
+		p.answered(now, b)
+		return Message{}, false
+	}
+	if b.seq == 0 {
+		p.seq++
+		b.seq = p.seq
+	}
+	if len(x.flying) == 0 {
+		x.heard = now
+	}
+	x.flying = append(x.flying, b)
+	x.writes++
+	p.paces.messages++
+	p.paces.lines += uint64(b.lines)
+	p.paces.changes += uint64(len(b.changes))
+	return Message{Proxy: x.id, Seq: b.seq, Lines: b.lines, Changes: b.changes}, true
+}
+
+func pendingHas(x *proxy, k key) bool { _, ok := x.pending[k]; return ok }
+
+// Progress tells that some answer came from a proxy: it is slow perhaps, not stuck.
+func (p *Plane) Progress(now fleet.Time, id fleet.ProxyID) {
+	if x := p.proxies[id]; x != nil {
+		x.heard = now
+	}
+}
+
+// Answer tells that all answers to a message have come, and which of its changes were not done.
+func (p *Plane) Answer(now fleet.Time, id fleet.ProxyID, seq uint64, failures []Failure) {
+	x := p.proxies[id]
+	if x == nil {
+		return
+	}
+	at := slices.IndexFunc(x.flying, func(b *parcel) bool { return b.seq == seq })
+	if at < 0 {
+		return // of a stream before this one
+	}
+	b := x.flying[at]
+	x.flying = slices.Delete(x.flying, at, at+1)
+	x.heard = now
+	for _, f := range failures {
+		if f.Index >= 0 && f.Index < len(b.changes) {
+			p.fail(now, x, b.changes[f.Index], b.keys[f.Index], f)
+		}
+	}
+	if len(failures) == 0 && len(x.failed) == 0 {
+		x.backoff = 0
+	}
+	p.answered(now, b)
+	p.settle()
+}
+
+// fail takes back what a change that was not done was taken to do, and has it sent anew: at once where the error
+// tells what the proxy holds, else later and later.
+func (p *Plane) fail(now fleet.Time, x *proxy, ch Change, k key, f Failure) {
+	again := true
+	if ch.Kind == SetLevels {
+		x.levels[ch.Class] = Level{}
+		again = false
+	} else {
+		cell := &x.sent[int(k.server)*p.classes()+int(ch.Class)]
+		switch {
+		case f.Fault == NoLine:
+			*cell = Cell{}
+			x.own[int(k.server)*p.classes()+int(ch.Class)] = Cell{}
+			if ch.Kind == DelLine {
+				return
+			}
+			again = ch.Kind == SetLine
+		case f.Fault == LineExists:
+			*cell = Cell{Present: true, Unknown: true}
+		case f.Fault == InUse:
+			*cell = Cell{Present: true, Weight: ch.Weight, State: Out}
+			return // the next sweep tries again
+		default:
+			cell.Unknown, cell.Present = ch.Kind != AddLine, ch.Kind != AddLine
+			again = false
+		}
+	}
+	if again {
+		p.touch(x, k, true)
+		x.allowed++
+		return
+	}
+	if x.backoff == 0 {
+		p.alarms = append(p.alarms, Alarm{x.id, "a change was refused and will be sent again: " + f.Text})
+	}
+	if !slices.Contains(x.failed, k) {
+		x.failed = append(x.failed, k)
+	}
+	if x.retryAt == 0 {
+		x.backoff = min(retryLast, max(retryFirst, 2*x.backoff))
+		x.retryAt = now + x.backoff
+	}
+}
+
+func (p *Plane) answered(now fleet.Time, b *parcel) {
+	if b.waits = b.marked && !b.gone; b.waits {
+		b.ordered = now - b.ordered // from here on: how long it took
+	}
+	b.done = true
+}
+
+// settle answers the marks whose time has come: all messages before theirs have been answered, but for those of
+// proxies that are slow.
+func (p *Plane) settle() {
+	low := 0
+	for low < len(p.open) && p.passed(p.open[low]) {
+		low++
+	}
+	reached := p.seq + 1
+	if low < len(p.open) {
+		reached = p.open[low].seq
+	}
+	left := p.open[:0]
+	for i, b := range p.open {
+		if b.waits && b.before <= reached {
+			b.waits = false
+			p.events = append(p.events, fleet.Applied{Proxy: b.proxy.id, Mark: b.mark, Took: b.ordered})
+		}
+		if i >= low || b.waits || !b.done {
+			left = append(left, b)
+		}
+	}
+	clear(p.open[len(left):])
+	p.open = left
+}
+
+// passed: the message holds no mark. A slow proxy's holds none, since it delays no other one.
+func (p *Plane) passed(b *parcel) bool {
+	return b.done || b.left > 0 && p.paced > b.left+p.slowAfter()
+}
+
+func (p *Plane) slowAfter() fleet.Time { return max(slowLeast, slowTravel*p.site.Travel) }
+
+func (p *Plane) stuckAfter() fleet.Time { return max(stuckLeast, stuckTurns*p.site.TravelMost) }
+
+// stuck gives up on proxies that answer nothing at all.
+func (p *Plane) stuck(now fleet.Time) {
+	for _, x := range slices.Clone(p.order) {
+		if len(x.flying) > 0 && now >= x.heard+p.stuckAfter() {
+			p.drops = append(p.drops, x.id)
+			p.alarms = append(p.alarms, Alarm{x.id, "nothing came back to its messages; its stream is broken off"})
+			p.Leave(x.id)
+		}
+	}
+}
+
+// sweep deletes the lines of servers that are gone for good, once a second.
+func (p *Plane) sweep(now fleet.Time) {
+	if now < p.swept+fleet.Second {
+		return
+	}
+	p.swept = now
+	for i := range p.servers {
+		s := &p.servers[i]
+		if s.gone == 0 || !s.withdrawn || now < s.gone+forgetGone {
+			continue
+		}
+		s.gone = now - forgetGone/2 // those still in use are tried again after half the time
+		for _, x := range p.order {
+			b := &parcel{proxy: x, ordered: now, left: now, done: true}
+			for c := range p.classes() {
+				cell := &x.sent[i*p.classes()+c]
+				if cell.Present && cell.State == Out && !cell.Unknown {
+					ch := Change{Kind: DelLine, Class: fleet.ClassID(c), Server: s.id, Weight: cell.Weight}
+					b.changes, b.keys = append(b.changes, ch), append(b.keys, key{server: int32(i)})
+					*cell, x.own[i*p.classes()+c] = Cell{}, Cell{}
+				}
+			}
+			if len(b.changes) > 0 {
+				x.due = append(x.due, b)
+			}
+		}
+	}
+}
+
+// Alarms gives what staff should hear of since the last call.
+func (p *Plane) Alarms() []Alarm {
+	a := p.alarms
+	p.alarms = nil
+	return a
+}
+
+// ProxyView is what operators see of a proxy.
+type ProxyView struct {
+	ID       fleet.ProxyID
+	Zone     fleet.ZoneID
+	On       []fleet.TableID
+	Bound    []bool
+	Waiting  int // lines that are not written yet
+	Flying   int // messages without answers
+	Written  int
+	Lines    int // lines held with weight and in use
+	Messages uint64
+}
+
+// Proxies gives what operators see, by id.
+func (p *Plane) Proxies() []ProxyView {
+	var views []ProxyView
+	for _, x := range p.order {
+		v := ProxyView{ID: x.id, Zone: x.zone, On: slices.Clone(x.on), Bound: slices.Clone(x.bound),
+			Waiting: len(x.pending), Flying: len(x.flying), Written: x.writes}
+		for _, c := range x.sent {
+			if c.Present && c.Weight > 0 && c.State == In {
+				v.Lines++
+			}
+		}
+		views = append(views, v)
+	}
+	return views
+}
+
+// Line is one line of a table, as operators see it.
+type Line struct {
+	Table     fleet.TableID
+	Server    fleet.ServerID
+	Weight    float64
+	Published int16
+	Withdrawn bool
+}
+
+// Tables gives the lines of all tables, by table and server.
+func (p *Plane) Tables() []Line {
+	var lines []Line
+	for id, t := range p.tables {
+		for i, w := range t.weights {
+			if s := p.servers[i]; w > 0 {
+				lines = append(lines, Line{id, s.id, w, Round(w, t.scale), s.withdrawn})
+			}
+		}
+	}
+	slices.SortFunc(lines, func(a, b Line) int {
+		return cmp.Or(cmp.Compare(a.Table, b.Table), cmp.Compare(a.Server, b.Server))
+	})
+	return lines
+}
+
+// Withdrawn tells whether a server is withdrawn.
+func (p *Plane) Withdrawn(id fleet.ServerID) bool {
+	i, ok := p.index[id]
+	return ok && p.servers[i].withdrawn
+}
+
+// Counters gives what left in all: lines as the module counts them, messages, changes, and lines that a newer
+// one replaced while they waited.
+func (p *Plane) Counters() (lines, messages, changes, folded uint64) {
+	return p.paces.lines, p.paces.messages, p.paces.changes, p.paces.folded
+}
--- /dev/null
+++ b/steer/steer.go
@@ -0,0 +1,610 @@
+// Package steer keeps what each proxy should hold, what it was sent and what it has answered, and decides which
+// lines leave when. It stands between the module's orders and the fronts that carry them: orders go in by Order,
+// what the proxies say goes in by Join, Leave, Answer and Progress, and Next gives the messages that may leave by
+// now. It holds no socket, clock or goroutine; the same calls give the same messages. docs/design/governor.md
+// tells the ways weighed.
+package steer
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"cressknot/fleet"
+)
+
+const (
+	weightMost = 256 // of a server in the runtime API of a proxy
+	weightAim  = 128 // of a table's largest line when it is scaled: may double before all lines change
+	weightFew  = 64  // of a table's largest line: under it rounding is over 0.8% of that line, so it is scaled anew
+	perMille   = 1000
+	rateAll    = 1e6                     // visits a second that no proxy reaches: let in all
+	window     = 2                       // messages to a proxy without answers: one applies while one travels
+	burst      = 50 * fleet.Millisecond  // the pace may be caught up by so much: a timer's delay under load
+	slowTravel = 4                       // mean ways of a message after which a proxy is slow and holds no mark
+	slowLeast  = 500 * fleet.Millisecond // the same at least: a turn of a loaded proxy's event loop
+	stuckTurns = 4                       // longest ways without any answer after which a proxy counts as gone
+	stuckLeast = 5 * fleet.Second        // the same at least: a proxy's reload takes some seconds
+	retryFirst = fleet.Second            // wait before a change that was answered with an error is sent again
+	retryLast  = 32 * fleet.Second       // the same at most, by doubling
+	forgetGone = 60 * fleet.Second       // a gone server's lines are deleted after so long, when visits have ended
+)
+
+// State is what keeps visits from a line, beside its weight.
+type State uint8
+
+// The states of a line; the first stands in changes for "as it is".
+const (
+	Stays State = iota
+	In          // takes visits by weight
+	Drain       // finishes what it has
+	Out         // takes nothing
+)
+
+// Cell is what a proxy holds of a server in one class. Weight is 0 to 256.
+type Cell struct {
+	Present bool
+	Unknown bool // an error left open what it holds
+	Weight  int16
+	State   State
+}
+
+// Level is what a proxy holds of a class's level.
+type Level struct {
+	Known  bool
+	Amount int32 // thousandths of the visits, or of visits a second; negative: all
+	Retry  fleet.Retry
+}
+
+// Kind says what a change is about.
+type Kind uint8
+
+// The kinds of changes.
+const (
+	SetLine   Kind = iota // weight, state or both of a line that is there
+	AddLine               // a line that the proxy doesn't have
+	DelLine               // a line of a server gone for good
+	SetLevels             // the level of a class
+)
+
+// Change is one thing that a message changes at a proxy, in absolute values: applied twice it does nothing new.
+type Change struct {
+	Kind   Kind
+	Class  fleet.ClassID
+	Server fleet.ServerID
+	Weight int16 // negative: as it is
+	State  State
+	Level  Level
+}
+
+// Message is what leaves for one proxy at one time. Lines counts as the module does.
+type Message struct {
+	Proxy   fleet.ProxyID
+	Seq     uint64
+	Lines   int
+	Changes []Change
+}
+
+// Fault is how a change was not done.
+type Fault uint8
+
+// The faults that a front tells apart.
+const (
+	OtherFault Fault = iota // an error that names none of the below, or an answer that makes no sense
+	NoLine                  // the line to be set or deleted isn't there
+	LineExists              // the line to be added is there
+	InUse                   // the line to be deleted has visits
+)
+
+// Failure tells of one change of a message that was not done.
+type Failure struct {
+	Index int
+	Fault Fault
+	Text  string
+}
+
+// Snapshot is what a proxy holds when its stream begins, as read back from it.
+type Snapshot struct {
+	Zone   fleet.ZoneID
+	Weight float64 // visits a second that it usually gets
+	Fresh  bool    // holds standing tables only
+	Lines  []SnapshotLine
+	Levels []Level // by class; may be short
+}
+
+// SnapshotLine is one line of a snapshot.
+type SnapshotLine struct {
+	Class  fleet.ClassID
+	Server fleet.ServerID
+	Cell   Cell
+}
+
+// key names what a line changes: a server in all classes, or a class's level (server is then noServer).
+type key struct {
+	server int32
+	class  fleet.ClassID
+}
+
+const noServer int32 = -1
+
+// Plane holds it all for one governor.
+type Plane struct {
+	site    fleet.Site
+	index   map[fleet.ServerID]int32
+	servers []server
+	tables  map[fleet.TableID]*table
+	every   []level // by class, for all tables
+	proxies map[fleet.ProxyID]*proxy
+	order   []*proxy // by id, so that what is emitted is the same each time
+
+	queue   []*parcel // waits for the pace, first out first; those before head have left
+	head    int
+	seq     uint64
+	open    []*parcel // by seq: left the queue or not, not answered; done ones are cut from the front
+	credit  float64   // lines that may leave now
+	paced   fleet.Time
+	events  []fleet.Event
+	drops   []fleet.ProxyID
+	alarms  []Alarm
+	waiting float64 // lines in the queue, heads included
+	paces   paces
+	swept   fleet.Time
+}
+
+type server struct {
+	id        fleet.ServerID
+	state     fleet.ServerState
+	started   fleet.Time
+	gone      fleet.Time // since when, 0: not
+	withdrawn bool
+	ordered   bool // a withdrawal or its end was ordered
+}
+
+type table struct {
+	weights []float64 // by server index
+	scale   float64   // weight of the runtime API for a weight of 1; 0: not laid
+	levels  []level   // by class
+}
+
+type level struct {
+	set    bool
+	amount float64
+	retry  fleet.Retry
+}
+
+type proxy struct {
+	id       fleet.ProxyID
+	zone     fleet.ZoneID
+	on       []fleet.TableID // by class
+	bound    []bool          // by class
+	sent     []Cell          // by server index times classes, then class: what it holds once all is answered
+	own      []Cell          // the same as it was at the join, for classes that are not bound
+	levels   []Level
+	urgent   []key // dirty, in the order of their lines; in pending
+	ordinary []key
+	pending  map[key]bool // true: urgent
+	allowed  int          // lines whose time in the channel has come
+	flying   []*parcel    // without answers, oldest first
+	due      []*parcel    // left the queue, wait for the window
+	heard    fleet.Time   // last progress, or last time that something began to fly
+	backoff  fleet.Time   // after errors
+	retryAt  fleet.Time
+	failed   []key
+	queued   int // its messages in the queue
+	writes   int // messages written in all
+}
+
+type parcel struct {
+	proxy   *proxy
+	seq     uint64
+	lines   int
+	ordered fleet.Time
+	left    fleet.Time // left the queue
+	mark    fleet.MarkID
+	marked  bool
+	before  uint64 // mark: all parcels of a lower seq have to be done
+	waits   bool   // answered, its mark is not yet
+	done    bool
+	gone    bool // its proxy left
+	changes []Change
+	keys    []key
+}
+
+// paces counts what left, for operators.
+type paces struct{ lines, messages, changes, folded uint64 }
+
+// Alarm is something that staff should hear of.
+type Alarm struct {
+	Proxy fleet.ProxyID
+	Text  string
+}
+
+// New makes an empty plane.
+func New(site fleet.Site) *Plane {
+	return &Plane{site: site, index: map[fleet.ServerID]int32{}, tables: map[fleet.TableID]*table{},
+		every: make([]level, len(site.Classes)), proxies: map[fleet.ProxyID]*proxy{}, paced: -1}
+}
+
+func (p *Plane) classes() int { return len(p.site.Classes) }
+
+func (p *Plane) server(id fleet.ServerID) int32 {
+	if i, ok := p.index[id]; ok {
+		return i
+	}
+	i := int32(len(p.servers))
+	p.index[id] = i
+	p.servers = append(p.servers, server{id: id})
+	for _, t := range p.tables {
+		t.weights = append(t.weights, 0)
+	}
+	for _, x := range p.order {
+		x.sent = append(x.sent, make([]Cell, p.classes())...)
+		x.own = append(x.own, make([]Cell, p.classes())...)
+	}
+	return i
+}
+
+func (p *Plane) table(id fleet.TableID) *table {
+	t := p.tables[id]
+	if t == nil {
+		t = &table{weights: make([]float64, len(p.servers)), levels: make([]level, p.classes())}
+		p.tables[id] = t
+	}
+	return t
+}
+
+// List hears what the list says, so that a drain can be told from a server that is gone, and a cold one from a
+// warm one.
+func (p *Plane) List(now fleet.Time, l fleet.List) {
+	if l.Scope == fleet.ListFailed {
+		return
+	}
+	listed := map[int32]bool{}
+	for _, e := range l.Entries {
+		i := p.server(e.Server)
+		s := &p.servers[i]
+		listed[i] = true
+		changed := s.state != e.State && s.withdrawn
+		s.state, s.started = e.State, e.Started
+		if e.State == fleet.Gone {
+			s.gone = cmp.Or(s.gone, now)
+		} else {
+			s.gone = 0
+		}
+		if changed {
+			p.touchAll(i, true)
+		}
+	}
+	if l.Scope == fleet.ListDelta {
+		return
+	}
+	for i := range p.servers {
+		if s := &p.servers[i]; !listed[int32(i)] && s.state != fleet.Gone {
+			s.state, s.gone = fleet.Gone, now
+		}
+	}
+}
+
+func (p *Plane) cold(s *server, now fleet.Time) bool {
+	return s.started > 0 && now < s.started+p.site.ColdFor
+}
+
+// Join begins a proxy's stream with what it was found to hold.
+func (p *Plane) Join(now fleet.Time, id fleet.ProxyID, snap Snapshot) {
+	p.Leave(id)
+	n := p.classes()
+	x := &proxy{id: id, zone: snap.Zone, on: make([]fleet.TableID, n), bound: make([]bool, n),
+		pending: map[key]bool{}, levels: make([]Level, n), heard: now}
+	for _, l := range snap.Lines {
+		p.server(l.Server)
+	}
+	x.sent = make([]Cell, len(p.servers)*n)
+	for _, l := range snap.Lines {
+		if int(l.Class) < n {
+			l.Cell.Present = true
+			x.sent[int(p.index[l.Server])*n+int(l.Class)] = l.Cell
+		}
+	}
+	copy(x.levels, snap.Levels)
+	x.own = slices.Clone(x.sent)
+	p.proxies[id] = x
+	at, _ := slices.BinarySearchFunc(p.order, id, func(x *proxy, id fleet.ProxyID) int { return cmp.Compare(x.id, id) })
+	p.order = slices.Insert(p.order, at, x)
+	// It may have missed withdrawals while it was away; the wanted state has them, whoever counted their lines.
+	for i := range p.servers {
+		if p.servers[i].ordered {
+			p.touch(x, key{server: int32(i)}, p.servers[i].withdrawn)
+		}
+	}
+	for c := range n {
+		if p.every[c].set {
+			p.touch(x, key{noServer, fleet.ClassID(c)}, false)
+		}
+	}
+	p.send(now, x, len(x.pending), nil)
+	p.events = append(p.events, fleet.Joined{Proxy: id, Zone: snap.Zone, Weight: snap.Weight, Fresh: snap.Fresh})
+}
+
+// Leave ends a proxy's stream: what waits or travels is lost.
+func (p *Plane) Leave(id fleet.ProxyID) {
+	x := p.proxies[id]
+	if x == nil {
+		return
+	}
+	delete(p.proxies, id)
+	p.order = slices.DeleteFunc(p.order, func(o *proxy) bool { return o == x })
+	for _, b := range p.open {
+		if b.proxy == x {
+			b.gone, b.done = true, true
+		}
+	}
+	for _, b := range p.queue[p.head:] {
+		if b.proxy == x {
+			p.waiting -= p.cost(b)
+		}
+	}
+	p.events = append(p.events, fleet.Left{Proxy: id})
+	p.settle()
+}
+
+// touch marks a line of a proxy as to be worked out and sent. A line that waits already is not sent twice.
+func (p *Plane) touch(x *proxy, k key, urgent bool) {
+	was, waits := x.pending[k]
+	if waits {
+		p.paces.folded++
+	}
+	if waits && (was || !urgent) {
+		return
+	}
+	x.pending[k] = urgent
+	if urgent {
+		x.urgent = append(x.urgent, k)
+	} else {
+		x.ordinary = append(x.ordinary, k)
+	}
+}
+
+func (p *Plane) touchAll(i int32, urgent bool) {
+	for _, x := range p.order {
+		p.touch(x, key{server: i}, urgent)
+		x.allowed++
+	}
+}
+
+// Order takes the orders of one step; each proxy that they concern gets one message.
+func (p *Plane) Order(now fleet.Time, orders []fleet.Order) {
+	lines := map[*proxy]int{}
+	var mark *fleet.Mark
+	for _, o := range orders {
+		switch o := o.(type) {
+		case fleet.Share:
+			p.share(now, o, lines)
+		case fleet.Clear:
+			t := p.table(o.Table)
+			for i, w := range t.weights {
+				if w > 0 {
+					t.weights[i] = 0
+					p.users(o.Table, func(x *proxy) { p.touch(x, key{server: int32(i)}, false) })
+				}
+			}
+			t.scale, t.levels = 0, make([]level, p.classes())
+			p.users(o.Table, func(x *proxy) {
+				lines[x]++
+				for c := range x.on {
+					p.touch(x, key{noServer, fleet.ClassID(c)}, false)
+				}
+			})
+		case fleet.Withdraw:
+			i := p.server(o.Server)
+			s := &p.servers[i]
+			s.withdrawn, s.ordered = o.Out, true
+			for _, x := range p.order {
+				p.touch(x, key{server: i}, o.Out)
+				lines[x]++
+			}
+		case fleet.Bind:
+			if x := p.proxies[o.Proxy]; x != nil {
+				lines[x] += p.bind(x, o)
+			}
+		case fleet.Level:
+			p.level(o, lines)
+		case fleet.Mark:
+			mark = &o
+		}
+	}
+	first := p.seq + 1
+	for _, x := range p.order {
+		n := lines[x]
+		if n == 0 && (mark == nil || !mark.All) {
+			continue
+		}
+		b := p.send(now, x, n, mark)
+		b.before = first
+	}
+}
+
+// users calls each proxy that has a class on the table.
+func (p *Plane) users(id fleet.TableID, each func(*proxy)) {
+	for _, x := range p.order {
+		for c, on := range x.on {
+			if x.bound[c] && on == id {
+				each(x)
+				break
+			}
+		}
+	}
+}
+
+func (p *Plane) share(now fleet.Time, o fleet.Share, lines map[*proxy]int) {
+	t, i := p.table(o.Table), p.server(o.Server)
+	before := t.weights[i]
+	t.weights[i] = float64(o.Weight)
+	most := slices.Max(t.weights)
+	if rescale := most*t.scale > weightMost || most*t.scale < weightFew; most > 0 && rescale {
+		t.scale = weightAim / most
+		p.users(o.Table, func(x *proxy) {
+			for j, w := range t.weights {
+				if w > 0 {
+					p.touch(x, key{server: int32(j)}, false)
+					lines[x]++
+				}
+			}
+		})
+	}
+	// A cold server's lines go down before others move: nothing may push it over meanwhile.
+	urgent := float64(o.Weight) < before && p.cold(&p.servers[i], now)
+	p.users(o.Table, func(x *proxy) {
+		p.touch(x, key{server: i}, urgent)
+		lines[x]++
+	})
+}
+
+func (p *Plane) bind(x *proxy, o fleet.Bind) int {
+	n, touched := 1, 0
+	for c := range x.on {
+		if o.Classes == 0 || o.Classes&(1<<c) != 0 {
+			touched++
+			x.on[c], x.bound[c] = o.Table, true
+			p.touch(x, key{noServer, fleet.ClassID(c)}, false)
+		}
+	}
+	t := p.table(o.Table)
+	for i := range p.servers {
+		if p.differs(x, int32(i)) {
+			touched++
+			p.touch(x, key{server: int32(i)}, p.servers[i].withdrawn)
+		}
+		if t.weights[i] > 0 || p.servers[i].withdrawn {
+			n++
+		}
+	}
+	return max(n, touched)
+}
+
+func (p *Plane) level(o fleet.Level, lines map[*proxy]int) {
+	levels := p.every
+	if o.Table != fleet.EveryTable {
+		levels = p.table(o.Table).levels
+	}
+	for c := range levels {
+		if o.Classes != 0 && o.Classes&(1<<c) == 0 {
+			continue
+		}
+		levels[c] = level{true, float64(o.Amount), o.Retry}
+		for _, x := range p.order {
+			if o.Table == fleet.EveryTable || x.bound[c] && x.on[c] == o.Table {
+				p.touch(x, key{noServer, fleet.ClassID(c)}, false)
+			}
+		}
+	}
+	for _, x := range p.order {
+		if o.Table == fleet.EveryTable || slices.Contains(x.on, o.Table) {
+			lines[x]++
+		}
+	}
+}
+
+// wantCell works out what a proxy should hold of a server in a class.
+func (p *Plane) wantCell(x *proxy, i int32, c int) Cell {
+	s, at := &p.servers[i], int(i)*p.classes()+c
+	own := x.own[at]
+	if !x.bound[c] {
+		if s.ordered && own.Present {
+			own.State = p.stateOf(s)
+		}
+		return own
+	}
+	t := p.tables[x.on[c]]
+	want := Cell{State: p.stateOf(s), Weight: Round(t.weights[i], t.scale)}
+	if want.Present = want.Weight > 0 || x.sent[at].Present; !want.Present {
+		return Cell{}
+	}
+	return want
+}
+
+func (p *Plane) stateOf(s *server) State {
+	switch {
+	case !s.withdrawn:
+		return In
+	case s.state == fleet.Draining:
+		return Drain
+	}
+	return Out
+}
+
+// Round gives the weight of the runtime API for a weight of a table: a positive one never becomes 0, and none
+// passes the most that the API takes. The error is half a unit, or up to one for the smallest.
+func Round(weight, scale float64) int16 {
+	if weight <= 0 {
+		return 0
+	}
+	return int16(min(weightMost, max(1, math.Round(weight*scale))))
+}
+
+func (p *Plane) wantLevel(x *proxy, c int) Level {
+	l := p.every[c]
+	if x.bound[c] {
+		if own := p.tables[x.on[c]].levels[c]; own.set {
+			if l.set {
+				own.amount = min(own.amount, l.amount)
+			}
+			l = own
+		}
+	}
+	if !l.set {
+		return Level{}
+	}
+	want := Level{Known: true, Amount: -1, Retry: l.retry}
+	if p.site.Admission == fleet.AdmitShare && l.amount < 1 || p.site.Admission == fleet.AdmitRate && l.amount < rateAll {
+		if want.Amount = int32(perMille * l.amount); l.amount > 0 {
+			want.Amount = max(1, want.Amount)
+		}
+	}
+	return want
+}
+
+func (p *Plane) differs(x *proxy, i int32) bool {
+	for c := range p.classes() {
+		if have := x.sent[int(i)*p.classes()+c]; have != p.wantCell(x, i, c) {
+			return true
+		}
+	}
+	return false
+}
+
+// difference appends the changes that bring a line of a proxy to what is wanted, and takes them as sent.
+func (p *Plane) difference(to []Change, x *proxy, k key) []Change {
+	if k.server == noServer {
+		if want := p.wantLevel(x, int(k.class)); want.Known && x.levels[k.class] != want {
+			x.levels[k.class] = want
+			to = append(to, Change{Kind: SetLevels, Class: k.class, Level: want})
+		}
+		return to
+	}
+	for c := range p.classes() {
+		have, want := &x.sent[int(k.server)*p.classes()+c], p.wantCell(x, k.server, c)
+		if *have == want {
+			continue
+		}
+		ch := Change{Class: fleet.ClassID(c), Server: p.servers[k.server].id, Weight: want.Weight, State: want.State}
+		switch {
+		case !want.Present && !have.Present:
+			continue
+		case !have.Present && !have.Unknown:
+			ch.Kind = AddLine
+		case !have.Unknown:
+			if have.Weight == want.Weight {
+				ch.Weight = -1
+			}
+			if have.State == want.State {
+				ch.State = Stays
+			}
+		}
+		*have = want
+		to = append(to, ch)
+	}
+	return to
+}
+
+// Lines tells how many lines wait in the channel, heads included: what the queue rule bounds.
+func (p *Plane) Lines() float64 { return p.waiting }
