--- /dev/null
+++ b/cmd/cressknot/main.go
@@ -0,0 +1,211 @@
+// Cressknot is the control service: it steers plain proxies by weights over their runtime sockets.
+package main
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"cressknot/config"
+	"cressknot/records"
+	"cressknot/runtimeapi"
+	"cressknot/serve"
+)
+
+// askWithin bounds a command to a running governor.
+const askWithin = 5 * time.Second
+
+// usage is an error of the command line itself; the program then exits with 2.
+type usage struct{ error }
+
+func main() {
+	root := command()
+	if err := root.ExecuteContext(context.Background()); err != nil {
+		fmt.Fprintln(os.Stderr, "cressknot:", err)
+		var u usage
+		if errors.As(err, &u) || strings.HasPrefix(err.Error(), "unknown command") {
+			os.Exit(2)
+		}
+		os.Exit(1)
+	}
+}
+
+func args(check cobra.PositionalArgs) cobra.PositionalArgs {
+	return func(c *cobra.Command, a []string) error {
+		if err := check(c, a); err != nil {
+			return usage{fmt.Errorf("%w; see '%s --help'", err, c.CommandPath())}
+		}
+		return nil
+	}
+}
+
+func command() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "cressknot",
+		Short: "Steers plain proxies: which servers each sends its visits to",
+		Long: `Cressknot runs a governor: it hears what proxies met at each server, and keeps the weights of
+their tables right while servers, proxies and governors fail.
+
+Exit codes: 0 done, 1 failed, 2 the command line was wrong.`,
+		Example: `  cressknot check governor.cue
+  cressknot serve --config governor.cue
+  cressknot show servers --socket /run/cressknot.sock
+  cressknot explain node-07 --socket /run/cressknot.sock`,
+		SilenceErrors: true, SilenceUsage: true, Version: serve.Version,
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage{err} })
+	root.AddCommand(serveCommand(), checkCommand(), showCommand(), explainCommand(), replayCommand(),
+		&cobra.Command{Use: "version", Short: "Print the version", Args: args(cobra.NoArgs),
+			Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), serve.Version) }})
+	return root
+}
+
+func serveCommand() *cobra.Command {
+	var path string
+	c := &cobra.Command{Use: "serve --config FILE", Short: "Run a governor",
+		Long: `Run the governor of a settings file until SIGINT or SIGTERM. Orders in hand leave first; a second
+signal ends it at once. SIGHUP reads the settings again: what may change while it runs is taken
+over, a file that asks for more is refused whole.`,
+		Args: args(cobra.NoArgs),
+		RunE: func(*cobra.Command, []string) error {
+			if path == "" {
+				return usage{errors.New("serve needs --config FILE")}
+			}
+			return serve.Governor(path)
+		}}
+	c.Flags().StringVarP(&path, "config", "c", "", "settings: CUE, JSON or YAML")
+	return c
+}
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{Use: "check FILE...", Short: "Check settings and tell all that is wrong in them",
+		Args: args(cobra.MinimumNArgs(1)),
+		RunE: func(c *cobra.Command, files []string) error {
+			wrong := 0
+			for _, path := range files {
+				s, err := config.Load(path)
+				var faults config.Faults
+				switch {
+				case errors.As(err, &faults):
+					wrong += len(faults)
+					fmt.Fprintln(c.OutOrStdout(), faults)
+				case err != nil:
+					wrong++
+					fmt.Fprintln(c.OutOrStdout(), err)
+				default:
+					fmt.Fprintf(c.OutOrStdout(), "%s: good: governor %s, %d proxies, %d classes\n", path, s.Name,
+						len(s.Proxies), len(s.Classes))
+				}
+			}
+			if wrong > 0 {
+				return fmt.Errorf("%d faults", wrong)
+			}
+			return nil
+		}}
+}
+
+// socketFlag finds the operators' socket: by flag, else by the settings.
+func socketFlag(c *cobra.Command) func() (string, error) {
+	var socket, path string
+	c.Flags().StringVarP(&socket, "socket", "s", "", "operators' socket: path or host:port")
+	c.Flags().StringVarP(&path, "config", "c", "", "settings that name the socket")
+	return func() (string, error) {
+		if socket != "" {
+			return socket, nil
+		}
+		if path == "" {
+			return "", usage{errors.New("needs --socket PATH or --config FILE")}
+		}
+		s, err := config.Load(path)
+		if err != nil {
+			return "", err
+		}
+		if s.Operators.Socket == "" {
+			return "", fmt.Errorf("%s: operators.socket: is not set", path)
+		}
+		return s.Operators.Socket, nil
+	}
+}
+
+func showCommand() *cobra.Command {
+	c := &cobra.Command{Use: "show info|servers|tables|proxies|orders|log", Short: "Show what a running governor holds",
+		ValidArgs: []string{"info", "servers", "tables", "proxies", "orders", "log"},
+		Args:      args(cobra.MatchAll(cobra.ExactArgs(1), cobra.OnlyValidArgs))}
+	socket := socketFlag(c)
+	c.RunE = func(c *cobra.Command, a []string) error { return ask(c.OutOrStdout(), socket, "show", a[0]) }
+	return c
+}
+
+func explainCommand() *cobra.Command {
+	c := &cobra.Command{Use: "explain SERVER", Short: "Tell why a server's weight is what it is",
+		Args: args(cobra.ExactArgs(1))}
+	socket := socketFlag(c)
+	c.RunE = func(c *cobra.Command, a []string) error { return ask(c.OutOrStdout(), socket, "explain", a[0]) }
+	return c
+}
+
+// ask sends one command to a governor and prints its answer.
+func ask(out io.Writer, socket func() (string, error), words ...string) error {
+	addr, err := socket()
+	if err != nil {
+		return err
+	}
+	network := "tcp"
+	if strings.Contains(addr, "/") || filepath.Ext(addr) == ".sock" {
+		network = "unix"
+	}
+	conn, err := net.DialTimeout(network, addr, askWithin)
+	if err != nil {
+		return fmt.Errorf("no governor answers: %w", err)
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(askWithin)); err != nil {
+		return err
+	}
+	if _, err := conn.Write(append(runtimeapi.AppendCommand(nil, words...), '\n')); err != nil {
+		return fmt.Errorf("asking the governor: %w", err)
+	}
+	var answers runtimeapi.Answers
+	var text string
+	done := errors.New("done")
+	buffer := make([]byte, 1<<16)
+	for in := bufio.NewReader(conn); ; {
+		n, err := in.Read(buffer)
+		if fed := answers.Feed(buffer[:n], func(b []byte) error { text = string(b); return done }); fed == done {
+			break
+		} else if err = errors.Join(fed, err); err != nil {
+			return fmt.Errorf("the governor's answer: %w", err)
+		}
+	}
+	if strings.HasPrefix(text, runtimeapi.UnknownPrefix) || text == runtimeapi.NoServer {
+		return errors.New(strings.TrimSpace(text))
+	}
+	_, err = io.WriteString(out, text)
+	return err
+}
+
+func replayCommand() *cobra.Command {
+	return &cobra.Command{Use: "replay RECORDS", Short: "Step the module through records and compare its orders",
+		Long: `Step the module through what a governor recorded ('records' in its settings). It must give the same
+orders to the byte; the first line that differs is told.`,
+		Args: args(cobra.ExactArgs(1)),
+		RunE: func(c *cobra.Command, a []string) error {
+			f, err := os.Open(a[0])
+			if err != nil {
+				return err
+			}
+			defer f.Close()
+			steps, orders, err := records.Replay(a[0], f)
+			fmt.Fprintf(c.OutOrStdout(), "%d steps, %d orders the same\n", steps, orders)
+			return err
+		}}
+}
--- /dev/null
+++ b/governor/core.go
@@ -0,0 +1,334 @@
+package governor
+
+import (
+	"cmp"
+	"fmt"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"cressknot/fleet"
+	"cressknot/front"
+	"cressknot/list"
+	"cressknot/logic"
+	"cressknot/reports"
+	"cressknot/steer"
+)
+
+const (
+	logKept    = 512              // lines kept for "show log" and "explain": some minutes of a rough day
+	ordersKept = 512              // orders kept for "show orders"
+	idleMost   = fleet.Second / 4 // longest time without a turn: sweeps and marks of slow proxies wait no longer
+)
+
+// Input is something that a turn takes in: a front.Event, a list.Update or a fleet.Probed.
+type Input any
+
+// Output is what a turn wants done.
+type Output struct {
+	Messages []steer.Message
+	Drops    []fleet.ProxyID
+	Polls    []fleet.ProxyID
+	Probes   []fleet.ServerID
+	Watch    *bool // of the list
+	Fetch    bool
+	List     *list.Document // a new whole list, worth keeping
+	Logs     []Line
+	Wake     fleet.Time // next turn at the latest
+	// What the module heard and ordered, for records; good until the next turn.
+	Stepped bool
+	Events  []fleet.Event
+	Orders  []fleet.Order
+}
+
+// Line is one line of the governor's log.
+type Line struct {
+	At    fleet.Time
+	Level string // "info", "warn" or "error"
+	From  string // "module", "channel", "list", "proxy"
+	Text  string
+}
+
+// Core holds all decision state of a governor. Turn is all that touches it; it does no I/O and knows no clock.
+type Core struct {
+	site    fleet.Site
+	names   *Names
+	zones   map[string]fleet.ZoneID
+	kinds   map[string]fleet.KindID
+	proxies map[fleet.ProxyID]front.Proxy
+	module  *logic.Governor
+	plane   *steer.Plane
+	gather  *reports.Gather
+	streams map[fleet.ProxyID]uint64
+	alarms  []alarm
+	started fleet.Time
+	entries map[fleet.ServerID]fleet.Entry
+	docs    map[string]list.Server // the whole list as told, for the cache
+	rev     uint64
+	listed  fleet.Time // last list
+	logs    []Line
+	orders  []Line
+	steps   uint64
+	held    []fleet.Event // heard in the next turn
+	events  []fleet.Event
+}
+
+type alarm struct {
+	at fleet.Time
+	id fleet.AlarmID
+}
+
+// NewCore makes a governor for a site and its proxies.
+func NewCore(site fleet.Site, seed uint64, proxies []front.Proxy, names *Names) *Core {
+	c := &Core{site: site, names: names, zones: map[string]fleet.ZoneID{}, kinds: map[string]fleet.KindID{},
+		proxies: map[fleet.ProxyID]front.Proxy{}, module: logic.New(site, seed), plane: steer.New(site),
+		gather: reports.New(site), streams: map[fleet.ProxyID]uint64{}, started: -1,
+		entries: map[fleet.ServerID]fleet.Entry{}, docs: map[string]list.Server{}}
+	for i, z := range site.Zones {
+		c.zones[z] = fleet.ZoneID(i)
+	}
+	for i, k := range site.Kinds {
+		c.kinds[k] = fleet.KindID(i)
+	}
+	for _, p := range proxies {
+		c.proxies[p.ID] = p
+	}
+	return c
+}
+
+// Turn takes in what came and gives what is to be done now.
+func (c *Core) Turn(now fleet.Time, inputs []Input) Output {
+	if c.started < 0 {
+		c.started = now
+	}
+	var out Output
+	c.events = c.events[:0]
+	for _, in := range inputs {
+		c.take(now, in, &out)
+	}
+	messages, heard, drops, wake := c.plane.Next(now)
+	out.Messages, out.Drops = messages, drops
+	c.hear(now, heard)
+	told, more := c.gather.Tell(now)
+	c.events = append(c.events, told...)
+	c.due(now)
+	if len(c.events) > 0 || c.steps == 0 && c.site.ListOnRequest { // with a list that comes by itself, first hear it
+		orders := c.module.Step(now, c.events)
+		c.steps++
+		out.Stepped, out.Events, out.Orders = true, c.events, orders
+		c.order(now, orders, &out)
+		messages, heard, drops, wake = c.plane.Next(now)
+		out.Messages = append(out.Messages, messages...)
+		out.Drops = append(out.Drops, drops...)
+		for _, e := range heard { // answered at once, as nothing had to be sent: heard in a turn that follows
+			c.later(now, e)
+		}
+	}
+	for _, a := range c.plane.Alarms() {
+		c.log(&out, Line{now, "warn", "channel", fmt.Sprintf("proxy %s: %s", c.proxies[a.Proxy].Name, a.Text)})
+	}
+	asks, next := c.gather.Polls(now)
+	out.Polls = asks
+	out.Wake = now + idleMost
+	for _, at := range []fleet.Time{wake, more, next} {
+		if at > 0 {
+			out.Wake = min(out.Wake, at)
+		}
+	}
+	for _, a := range c.alarms {
+		out.Wake = min(out.Wake, a.at)
+	}
+	if len(c.held) > 0 {
+		out.Wake = now
+	}
+	return out
+}
+
+// Settle lets what is in hand leave, without any further decision; idle tells that nothing is left.
+func (c *Core) Settle(now fleet.Time, inputs []Input) (messages []steer.Message, wake fleet.Time, idle bool) {
+	var out Output
+	c.events = c.events[:0]
+	for _, in := range inputs {
+		c.take(now, in, &out)
+	}
+	messages, _, _, wake = c.plane.Next(now)
+	return messages, cmp.Or(wake, now+idleMost), c.plane.Idle()
+}
+
+// take takes one input in.
+func (c *Core) take(now fleet.Time, in Input, out *Output) {
+	stale := func(id fleet.ProxyID, stream uint64) bool { return c.streams[id] != stream }
+	switch in := in.(type) {
+	case front.Up:
+		c.streams[in.Proxy] = in.Stream
+		c.plane.Join(now, in.Proxy, in.Held)
+		c.gather.Join(now, in.Proxy, in.Held.Zone)
+		c.log(out, Line{now, "info", "proxy", fmt.Sprintf("proxy %s joined: %d lines held, fresh %v",
+			c.proxies[in.Proxy].Name, len(in.Held.Lines), in.Held.Fresh)})
+	case front.Down:
+		if !stale(in.Proxy, in.Stream) {
+			delete(c.streams, in.Proxy)
+			c.plane.Leave(in.Proxy)
+			c.gather.Leave(in.Proxy)
+			c.log(out, Line{now, "warn", "proxy", fmt.Sprintf("proxy %s left: %v", c.proxies[in.Proxy].Name, in.Why)})
+		}
+	case front.Progress:
+		if !stale(in.Proxy, in.Stream) {
+			c.plane.Progress(now, in.Proxy)
+		}
+	case front.Answer:
+		if !stale(in.Proxy, in.Stream) {
+			c.plane.Answer(now, in.Proxy, in.Seq, in.Failures)
+		}
+	case front.Polled:
+		if !stale(in.Proxy, in.Stream) {
+			c.plane.Progress(now, in.Proxy)
+			c.gather.Hear(in.Proxy, in.Reading)
+		}
+	case list.Update:
+		c.list(now, in, out)
+	case fleet.Probed:
+		c.events = append(c.events, in)
+	}
+}
+
+// hear takes over what the plane has for the module.
+func (c *Core) hear(now fleet.Time, events []fleet.Event) {
+	c.events = append(c.events, c.held...)
+	c.held = c.held[:0]
+	for _, e := range events {
+		if l, ok := e.(fleet.Left); ok {
+			c.gather.Leave(l.Proxy)
+		}
+		c.events = append(c.events, e)
+	}
+}
+
+func (c *Core) later(now fleet.Time, e fleet.Event) {
+	if l, ok := e.(fleet.Left); ok {
+		c.gather.Leave(l.Proxy)
+	}
+	c.held = append(c.held, e)
+}
+
+// list turns names into ids and hands the list on.
+func (c *Core) list(now fleet.Time, u list.Update, out *Output) {
+	if u.Err != nil {
+		c.log(out, Line{now, "warn", "list", u.Err.Error()})
+	}
+	if u.Scope == fleet.ListFailed {
+		if c.site.ListOnRequest {
+			c.events = append(c.events, fleet.List{Scope: fleet.ListFailed})
+		}
+		return
+	}
+	l := fleet.List{Scope: u.Scope, Rev: fleet.ListRev(u.Doc.Rev)}
+	if u.Scope != fleet.ListDelta {
+		clear(c.docs)
+		clear(c.entries)
+	}
+	for _, s := range u.Doc.Servers {
+		zone, ok := c.zones[s.Zone]
+		if !ok {
+			c.log(out, Line{now, "error", "list", fmt.Sprintf("server %s: zone %q is none of this site's; left out", s.Name, s.Zone)})
+			continue
+		}
+		e := fleet.Entry{Server: c.names.Listed(s.Name, s.Addr), Zone: zone, Kind: c.kinds[s.Kind],
+			Cell: fleet.CellID(s.Cell), Weight: cmp.Or(s.Weight, 1), State: stateNames[s.State]}
+		if !s.Started.IsZero() {
+			e.Started = fleet.Time(s.Started.UnixNano())
+		}
+		if e.State == fleet.Gone {
+			delete(c.docs, s.Name)
+			delete(c.entries, e.Server)
+			if u.Scope != fleet.ListDelta {
+				continue
+			}
+		} else {
+			c.docs[s.Name] = s
+			c.entries[e.Server] = e
+		}
+		l.Entries = append(l.Entries, e)
+	}
+	c.rev, c.listed = u.Doc.Rev, now
+	c.plane.List(now, l)
+	c.events = append(c.events, l)
+	if u.Scope != fleet.ListCached {
+		doc := list.Document{Rev: u.Doc.Rev}
+		for _, s := range c.docs {
+			doc.Servers = append(doc.Servers, s)
+		}
+		slices.SortFunc(doc.Servers, func(a, b list.Server) int { return strings.Compare(a.Name, b.Name) })
+		out.List = &doc
+	}
+}
+
+var stateNames = map[string]fleet.ServerState{"": fleet.Ready, "ready": fleet.Ready, "draining": fleet.Draining,
+	"gone": fleet.Gone}
+
+// due turns timers that have come due into events.
+func (c *Core) due(now fleet.Time) {
+	kept := c.alarms[:0]
+	for _, a := range c.alarms {
+		if a.at <= now {
+			c.events = append(c.events, fleet.Alarm{ID: a.id})
+		} else {
+			kept = append(kept, a)
+		}
+	}
+	c.alarms = kept
+}
+
+var serverInText = regexp.MustCompile(`\bserver (\d+)\b`)
+
+// order sorts the module's orders to where they are carried out.
+func (c *Core) order(now fleet.Time, orders []fleet.Order, out *Output) {
+	for _, o := range orders {
+		switch o := o.(type) {
+		case fleet.SetAlarm:
+			c.alarms = append(c.alarms, alarm{now + o.After, o.ID})
+			continue
+		case fleet.Log:
+			text := serverInText.ReplaceAllStringFunc(o.Text, func(m string) string {
+				id, _ := strconv.ParseUint(m[len("server "):], 10, 32)
+				name, _ := c.names.Of(fleet.ServerID(id))
+				return "server " + name
+			})
+			c.log(out, Line{now, "info", "module", text})
+		case fleet.Watch:
+			out.Watch = &o.On
+		case fleet.Fetch:
+			out.Fetch = true
+		case fleet.Probe:
+			out.Probes = append(out.Probes, o.Server)
+			continue
+		case fleet.Mark:
+			continue
+		}
+		c.orders = append(c.orders[max(0, len(c.orders)+1-ordersKept):], Line{At: now, Text: c.say(o)})
+	}
+	c.plane.Order(now, orders)
+}
+
+func (c *Core) say(o fleet.Order) string {
+	name := func(id fleet.ServerID) string { n, _ := c.names.Of(id); return n }
+	switch o := o.(type) {
+	case fleet.Share:
+		return fmt.Sprintf("share table=%d server=%s weight=%.4g", o.Table, name(o.Server), o.Weight)
+	case fleet.Withdraw:
+		return fmt.Sprintf("withdraw server=%s out=%v", name(o.Server), o.Out)
+	case fleet.Bind:
+		return fmt.Sprintf("bind proxy=%s table=%d classes=%#x", c.proxies[o.Proxy].Name, o.Table, o.Classes)
+	case fleet.Level:
+		return fmt.Sprintf("level table=%d classes=%#x amount=%.4g retry=%d", o.Table, o.Classes, o.Amount, o.Retry)
+	case fleet.Log:
+		return "log " + o.Text
+	}
+	return fmt.Sprintf("%T %+v", o, o)
+}
+
+func (c *Core) log(out *Output, l Line) {
+	c.logs = append(c.logs[max(0, len(c.logs)+1-logKept):], l)
+	out.Logs = append(out.Logs, l)
+}
--- /dev/null
+++ b/governor/loop.go
@@ -0,0 +1,340 @@
+package governor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rs/zerolog"
+
+	"cressknot/fleet"
+	"cressknot/front"
+	"cressknot/list"
+	"cressknot/records"
+	"cressknot/steer"
+)
+
+const (
+	mailMost  = 4096             // inputs that wait before readings of one proxy are folded into the newest
+	tookMost  = int64(time.Hour) // of the histogram of turns
+	probeBody = 1 << 12          // bytes read of a probe's answer
+)
+
+// Loop runs a Core: one goroutine that owns it, a mailbox, a clock and a timer.
+type Loop struct {
+	core   *Core
+	names  *Names
+	front  front.Front
+	source list.Source
+	log    zerolog.Logger
+	wall   time.Time // at the start; the clock goes on by the monotonic one
+	cache  string
+	probe  string // path of probes
+
+	mu     sync.Mutex
+	mail   []Input
+	polled map[fleet.ProxyID]int // place of a waiting reading in mail
+	folded uint64
+	notify chan struct{}
+	asks   chan func(*Core)
+
+	recMu   sync.Mutex
+	records *records.Writer
+	recFile io.Closer
+
+	took   *hdrhistogram.Histogram
+	tookMu sync.Mutex
+	turns  uint64
+	ctx    context.Context
+}
+
+// Parts are what a loop is made of.
+type Parts struct {
+	Core      *Core
+	Names     *Names
+	Front     front.Front
+	Source    list.Source
+	Log       zerolog.Logger
+	Cache     string         // file that keeps the last list; "" for none
+	Cached    *list.Document // the list at the start, if any
+	ProbePath string
+}
+
+// NewLoop makes a loop that Run runs.
+func NewLoop(p Parts) *Loop {
+	l := &Loop{core: p.Core, names: p.Names, front: p.Front, source: p.Source, log: p.Log, wall: time.Now(),
+		cache: p.Cache, probe: p.ProbePath, polled: map[fleet.ProxyID]int{}, notify: make(chan struct{}, 1),
+		asks: make(chan func(*Core)), took: hdrhistogram.New(1000, tookMost, 3)}
+	if p.Cached != nil {
+		l.post(list.Update{Scope: fleet.ListCached, Doc: *p.Cached})
+	}
+	return l
+}
+
+// now is the governor's clock: the wall clock at the start, going on by the monotonic one, in nanoseconds.
+func (l *Loop) now() fleet.Time {
+	return fleet.Time(l.wall.UnixNano() + time.Since(l.wall).Nanoseconds())
+}
+
+// post puts an input into the mailbox. Nothing is lost: a reading that still waits is replaced by a newer one of the
+// same proxy once the box is long, as counters are sums.
+func (l *Loop) post(in Input) {
+	l.mu.Lock()
+	if p, ok := in.(front.Polled); ok {
+		p.Reading.At = l.now()
+		if at, waits := l.polled[p.Proxy]; waits && len(l.mail) > mailMost && l.mail[at].(front.Polled).Stream == p.Stream {
+			l.mail[at] = p
+			l.folded++
+			l.mu.Unlock()
+			return
+		}
+		l.polled[p.Proxy] = len(l.mail)
+	}
+	l.mail = append(l.mail, in)
+	l.mu.Unlock()
+	select {
+	case l.notify <- struct{}{}:
+	default:
+	}
+}
+
+func (l *Loop) collect() []Input {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	mail := l.mail
+	l.mail = nil
+	clear(l.polled)
+	return mail
+}
+
+// Ask runs a question in the loop's goroutine, between two turns.
+func (l *Loop) Ask(ctx context.Context, question func(*Core)) error {
+	done := make(chan struct{})
+	select {
+	case l.asks <- func(c *Core) { question(c); close(done) }:
+	case <-ctx.Done():
+		return fmt.Errorf("the governor is busy: %w", ctx.Err())
+	}
+	<-done
+	return nil
+}
+
+// Run decides until the context ends; then orders in hand leave for as long as stop allows, and streams close.
+func (l *Loop) Run(ctx context.Context, stop time.Duration) error {
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	l.ctx = inner
+	if err := l.front.Start(inner, func(e front.Event) { l.post(e) }); err != nil {
+		return fmt.Errorf("front: %w", err)
+	}
+	if err := l.source.Start(inner, func(u list.Update) { l.post(u) }); err != nil {
+		return errors.Join(err, l.front.Stop(inner))
+	}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			continue
+		case ask := <-l.asks:
+			ask(l.core)
+			continue
+		case <-l.notify:
+		case <-timer.C:
+		}
+		wake := l.turn()
+		timer.Reset(max(0, time.Duration(wake-l.now())))
+	}
+	return l.stop(inner, stop)
+}
+
+func (l *Loop) turn() fleet.Time {
+	inputs := l.collect()
+	now := l.now()
+	out := l.core.Turn(now, inputs)
+	l.tookMu.Lock()
+	l.turns++
+	_ = l.took.RecordValue(min(tookMost, max(1000, int64(l.now()-now))))
+	l.tookMu.Unlock()
+	for _, id := range out.Drops {
+		l.front.Drop(id)
+	}
+	for _, m := range out.Messages {
+		l.front.Send(m)
+	}
+	for _, id := range out.Polls {
+		l.front.Poll(id)
+	}
+	for _, id := range out.Probes {
+		go l.ask(id)
+	}
+	if out.Watch != nil {
+		l.source.Watch(*out.Watch)
+	}
+	if out.Fetch {
+		l.source.Fetch()
+	}
+	for _, line := range out.Logs {
+		l.say(line)
+	}
+	if out.List != nil && l.cache != "" {
+		if err := list.Cache(l.cache, *out.List); err != nil {
+			l.log.Error().Err(err).Msg("the list was not kept; the governor goes on without")
+		}
+	}
+	if out.Stepped {
+		l.record(now, out)
+	}
+	return out.Wake
+}
+
+func (l *Loop) say(line Line) {
+	var e *zerolog.Event
+	switch line.Level {
+	case "warn":
+		e = l.log.Warn()
+	case "error":
+		e = l.log.Error()
+	default:
+		e = l.log.Info()
+	}
+	e.Str("from", line.From).Time("at", time.Unix(0, int64(line.At))).Msg(line.Text)
+}
+
+// ask probes a server over HTTP; the load figures stand in the answer's X-Load header, separated by commas.
+func (l *Loop) ask(id fleet.ServerID) {
+	_, addr := l.names.Of(id)
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(l.ctx, time.Duration(steer.DialWithin))
+	defer cancel()
+	p := fleet.Probed{Server: id, Outcome: fleet.Unreachable}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+l.probe, nil)
+	if err == nil {
+		var res *http.Response
+		if res, err = http.DefaultClient.Do(req); err == nil {
+			_, _ = io.CopyN(io.Discard, res.Body, probeBody)
+			res.Body.Close()
+			switch {
+			case res.StatusCode == http.StatusOK:
+				p.Outcome, p.Load = fleet.Answered, readLoad(res.Header.Get("X-Load"))
+			case res.StatusCode == http.StatusServiceUnavailable:
+				p.Outcome = fleet.TurnedAway
+			default:
+				p.Outcome = fleet.Failed
+			}
+		} else if ctx.Err() != nil {
+			p.Outcome = fleet.NoAnswer
+		}
+	}
+	p.Took = fleet.Time(time.Since(began))
+	l.post(p)
+}
+
+func readLoad(text string) (load []float32) {
+	for len(text) > 0 {
+		var v float32
+		var rest string
+		if n, _ := fmt.Sscanf(text, "%g,%s", &v, &rest); n == 0 {
+			return load
+		}
+		load, text = append(load, v), rest
+	}
+	return load
+}
+
+func (l *Loop) stop(ctx context.Context, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	for ctx.Err() == nil {
+		messages, wake, idle := l.core.Settle(l.now(), l.collect())
+		for _, m := range messages {
+			l.front.Send(m)
+		}
+		if idle {
+			break
+		}
+		timer := time.NewTimer(max(0, time.Duration(wake-l.now())))
+		select {
+		case <-l.notify:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+	return errors.Join(l.front.Stop(ctx), l.closeRecords())
+}
+
+// RecordTo begins to record steps to a file made by open, or ends it with nil. Replay needs the start of the
+// governor, so that recording begun later serves to read, not to replay.
+func (l *Loop) RecordTo(path string, start records.Start) error {
+	if err := l.closeRecords(); err != nil {
+		l.log.Error().Err(err).Msg("records were not closed")
+	}
+	if path == "" {
+		return nil
+	}
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return fmt.Errorf("records: %w", err)
+	}
+	w, err := records.NewWriter(f, start)
+	if err != nil {
+		f.Close()
+		return fmt.Errorf("records: %s: %w", path, err)
+	}
+	l.recMu.Lock()
+	l.records, l.recFile = w, f
+	l.recMu.Unlock()
+	return nil
+}
+
+func (l *Loop) record(now fleet.Time, out Output) {
+	l.recMu.Lock()
+	defer l.recMu.Unlock()
+	if l.records == nil {
+		return
+	}
+	l.records.Step(now, out.Events, out.Orders, l.names.Count(), func(id fleet.ServerID) string {
+		name, _ := l.names.Of(id)
+		return name
+	})
+	if err := l.records.Flush(); err != nil {
+		l.log.Error().Err(err).Msg("records end here; the governor goes on without")
+		l.recFile.Close()
+		l.records, l.recFile = nil, nil
+	}
+}
+
+func (l *Loop) closeRecords() error {
+	l.recMu.Lock()
+	defer l.recMu.Unlock()
+	if l.records == nil {
+		return nil
+	}
+	err := errors.Join(l.records.Flush(), l.recFile.Close())
+	l.records, l.recFile = nil, nil
+	return err
+}
+
+// Took gives how long turns took, in nanoseconds at the quantiles asked for (0 to 100), and how many there were.
+func (l *Loop) Took(quantiles ...float64) (ns []int64, turns uint64) {
+	l.tookMu.Lock()
+	defer l.tookMu.Unlock()
+	for _, q := range quantiles {
+		ns = append(ns, l.took.ValueAtQuantile(q))
+	}
+	return ns, l.turns
+}
+
+// Folded tells how many readings were replaced by newer ones before they were heard.
+func (l *Loop) Folded() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.folded
+}
--- /dev/null
+++ b/governor/operators.go
@@ -0,0 +1,314 @@
+package governor
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio"
+
+	"cressknot/fleet"
+	"cressknot/runtimeapi"
+)
+
+const (
+	answerWithin = 2 * time.Second // for a question of staff: some turns of a busy governor
+	idleClose    = 10 * time.Minute
+)
+
+// Operators serves the operators' socket: the runtime API's text protocol, with the commands that "help" lists.
+type Operators struct {
+	loop    *Loop
+	version string
+	engine  *nbio.Engine
+	path    string
+}
+
+// ServeOperators listens on a Unix socket of mode 0600, or on host:port.
+func ServeOperators(loop *Loop, addr, version string) (*Operators, error) {
+	o := &Operators{loop: loop, version: version}
+	network := "tcp"
+	if strings.Contains(addr, "/") {
+		network, o.path = "unix", addr
+	}
+	o.engine = nbio.NewEngine(nbio.Config{Name: "operators", Network: network, Addrs: []string{addr}, NPoller: 1,
+		Listen: func(network, addr string) (net.Listener, error) {
+			if network != "unix" {
+				return net.Listen(network, addr)
+			}
+			return listenUnix(addr)
+		}})
+	o.engine.OnOpen(func(c *nbio.Conn) {
+		c.SetSession(&runtimeapi.Session{Answer: o.answer})
+		_ = c.SetReadDeadline(time.Now().Add(idleClose))
+	})
+	o.engine.OnData(func(c *nbio.Conn, data []byte) {
+		s, ok := c.Session().(*runtimeapi.Session)
+		if !ok {
+			c.Close()
+			return
+		}
+		_ = c.SetReadDeadline(time.Now().Add(idleClose))
+		reply, done := s.Feed(data)
+		_, _ = c.Write(reply)
+		if done {
+			c.Close()
+		}
+	})
+	if err := o.engine.Start(); err != nil {
+		return nil, fmt.Errorf("operators' socket %s: %w", addr, err)
+	}
+	return o, nil
+}
+
+// listenUnix takes the place of a socket that nobody listens on any more, as a killed governor leaves one.
+func listenUnix(path string) (net.Listener, error) {
+	old := syscall.Umask(0o177)
+	defer syscall.Umask(old)
+	l, err := net.Listen("unix", path)
+	if !errors.Is(err, syscall.EADDRINUSE) {
+		return l, err
+	}
+	if c, dialed := net.DialTimeout("unix", path, time.Second); dialed == nil {
+		c.Close()
+		return nil, err
+	}
+	if err := os.Remove(path); err != nil {
+		return nil, err
+	}
+	return net.Listen("unix", path)
+}
+
+// Close ends it.
+func (o *Operators) Close() {
+	o.engine.Stop()
+	if o.path != "" {
+		os.Remove(o.path)
+	}
+}
+
+type command struct {
+	words []string
+	help  string
+	do    func(o *Operators, c *Core, args []string) string
+}
+
+var commands []command
+
+func init() { // "help" reads the table that it stands in
+	commands = []command{
+		{[]string{"show", "info"}, "the governor: version, clock, counters, time of decisions", (*Operators).showInfo},
+		{[]string{"show", "servers"}, "listed servers: state, health as the module logged it, weights", (*Operators).showServers},
+		{[]string{"show", "tables"}, "lines of all tables, with the weight that proxies are sent", (*Operators).showTables},
+		{[]string{"show", "proxies"}, "proxies: stream, tables, what waits for them", (*Operators).showProxies},
+		{[]string{"show", "orders"}, "the latest orders, oldest first", (*Operators).showOrders},
+		{[]string{"show", "log"}, "the latest log lines, oldest first", (*Operators).showLog},
+		{[]string{"explain"}, "<server>: its weights and the reasons that were logged", (*Operators).explain},
+		{[]string{"get", "weight"}, "<server>: its weight in each table", (*Operators).getWeight},
+		{[]string{"help"}, "this list", func(o *Operators, c *Core, _ []string) string { return helpText() }},
+	}
+}
+
+func helpText() string {
+	var b strings.Builder
+	for _, c := range commands {
+		fmt.Fprintf(&b, "  %-14s : %s\n", strings.Join(c.words, " "), c.help)
+	}
+	b.WriteString("  prompt [n|i|p] : leave or enter interactive mode\n  quit           : close the connection\n")
+	return b.String()
+}
+
+func (o *Operators) answer(c runtimeapi.Command) []byte {
+	for _, known := range commands {
+		n := len(known.words)
+		if len(c.Words) < n || !slices.Equal(c.Words[:n], known.words) {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), answerWithin)
+		defer cancel()
+		var text string
+		if err := o.loop.Ask(ctx, func(core *Core) { text = known.do(o, core, c.Words[n:]) }); err != nil {
+			return fmt.Appendln(nil, err)
+		}
+		return []byte(text)
+	}
+	return fmt.Appendf(nil, "%s'%s'. Known are:\n%s", runtimeapi.UnknownPrefix, strings.Join(c.Words, " "), helpText())
+}
+
+func (o *Operators) showInfo(c *Core, _ []string) string {
+	lines, messages, changes, folded := c.plane.Counters()
+	took, turns := o.loop.Took(50, 99, 100)
+	now := o.loop.now()
+	var b strings.Builder
+	for _, p := range [][2]any{{"Name", "cressknot"}, {"Version", o.version}, {"Pid", os.Getpid()},
+		{"Uptime_sec", int64((now - c.started) / fleet.Second)}, {"Servers", len(c.entries)}, {"List_rev", c.rev},
+		{"List_age_ms", int64((now - c.listed) / fleet.Millisecond)}, {"Proxies_up", len(c.streams)},
+		{"Proxies_all", len(c.proxies)}, {"Turns", turns}, {"Steps", c.steps}, {"Turn_p50_us", took[0] / 1000},
+		{"Turn_p99_us", took[1] / 1000}, {"Turn_most_us", took[2] / 1000}, {"Lines_waiting", int64(c.plane.Lines())},
+		{"Lines_sent", lines}, {"Messages_sent", messages}, {"Changes_sent", changes}, {"Lines_replaced", folded},
+		{"Reports_waiting", c.gather.Waiting()}, {"Counter_resets", c.gather.Resets()}, {"Readings_folded", o.loop.Folded()}} {
+		fmt.Fprintf(&b, "%s: %v\n", p[0], p[1])
+	}
+	return b.String()
+}
+
+var stateWords = map[fleet.ServerState]string{fleet.Ready: "ready", fleet.Draining: "draining", fleet.Gone: "gone"}
+
+func (o *Operators) showServers(c *Core, _ []string) string {
+	var b strings.Builder
+	b.WriteString("# name addr zone state age_s withdrawn weights\n")
+	weights := map[fleet.ServerID][]string{}
+	for _, l := range c.plane.Tables() {
+		weights[l.Server] = append(weights[l.Server], fmt.Sprintf("%d=%d", l.Table, l.Published))
+	}
+	var ids []fleet.ServerID
+	for id := range c.entries {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b fleet.ServerID) int {
+		x, _ := c.names.Of(a)
+		y, _ := c.names.Of(b)
+		return strings.Compare(x, y)
+	})
+	for _, id := range ids {
+		e := c.entries[id]
+		name, addr := c.names.Of(id)
+		age := "-"
+		if e.Started > 0 {
+			age = strconv.FormatInt(int64((o.loop.now()-e.Started)/fleet.Second), 10)
+		}
+		fmt.Fprintf(&b, "%s %s %s %s %s %v %s\n", name, addr, c.site.Zones[e.Zone], stateWords[e.State], age,
+			c.plane.Withdrawn(id), cmp.Or(strings.Join(weights[id], ","), "-"))
+	}
+	return b.String()
+}
+
+func (o *Operators) showTables(c *Core, _ []string) string {
+	var b strings.Builder
+	b.WriteString("# table server weight published withdrawn\n")
+	for _, l := range c.plane.Tables() {
+		name, _ := c.names.Of(l.Server)
+		fmt.Fprintf(&b, "%d %s %.4f %d %v\n", l.Table, name, l.Weight, l.Published, l.Withdrawn)
+	}
+	return b.String()
+}
+
+func (o *Operators) showProxies(c *Core, _ []string) string {
+	var b strings.Builder
+	b.WriteString("# name zone addr stream tables lines_held lines_waiting messages_unanswered messages_written\n")
+	up := map[fleet.ProxyID]bool{}
+	for _, v := range c.plane.Proxies() {
+		up[v.ID] = true
+		var on []string
+		for i, t := range v.On {
+			if v.Bound[i] {
+				on = append(on, fmt.Sprintf("%s=%d", c.site.Classes[i].Name, t))
+			}
+		}
+		p := c.proxies[v.ID]
+		fmt.Fprintf(&b, "%s %s %s up %s %d %d %d %d\n", p.Name, c.site.Zones[v.Zone], p.Addr,
+			cmp.Or(strings.Join(on, ","), "own"), v.Lines, v.Waiting, v.Flying, v.Written)
+	}
+	var down []string
+	for id, p := range c.proxies {
+		if !up[id] {
+			down = append(down, fmt.Sprintf("%s %s %s down - - - - -\n", p.Name, c.site.Zones[p.Zone], p.Addr))
+		}
+	}
+	slices.Sort(down)
+	return b.String() + strings.Join(down, "")
+}
+
+func stamp(t fleet.Time) string {
+	return time.Unix(0, int64(t)).UTC().Format("2006-01-02T15:04:05.000Z")
+}
+
+func (o *Operators) showOrders(c *Core, _ []string) string {
+	var b strings.Builder
+	for _, l := range c.orders {
+		fmt.Fprintf(&b, "%s %s\n", stamp(l.At), l.Text)
+	}
+	return b.String()
+}
+
+func (o *Operators) showLog(c *Core, _ []string) string {
+	var b strings.Builder
+	for _, l := range c.logs {
+		fmt.Fprintf(&b, "%s %s %s: %s\n", stamp(l.At), l.Level, l.From, l.Text)
+	}
+	return b.String()
+}
+
+func (o *Operators) explain(c *Core, args []string) string {
+	if len(args) != 1 {
+		return "'explain' expects one server's name.\n"
+	}
+	id, ok := c.names.Server(args[0])
+	if !ok {
+		return runtimeapi.NoServer
+	}
+	var b strings.Builder
+	name, addr := c.names.Of(id)
+	e, listed := c.entries[id]
+	switch {
+	case !listed:
+		fmt.Fprintf(&b, "%s (%s) is not listed: visits are kept from it.\n", name, addr)
+	default:
+		fmt.Fprintf(&b, "%s (%s) is listed as %s in %s.\n", name, addr, stateWords[e.State], c.site.Zones[e.Zone])
+		if warm := e.Started + c.site.ColdFor; e.Started > 0 && o.loop.now() < warm {
+			fmt.Fprintf(&b, "It is cold for %.1f s more and bounded to what a cold server surely can do.\n",
+				(warm - o.loop.now()).Seconds())
+		}
+	}
+	if c.plane.Withdrawn(id) {
+		b.WriteString("It is withdrawn from all proxies.\n")
+	}
+	lines := 0
+	for _, l := range c.plane.Tables() {
+		if l.Server == id {
+			lines++
+			fmt.Fprintf(&b, "Table %d: weight %.4f, sent as %d.\n", l.Table, l.Weight, l.Published)
+		}
+	}
+	if lines == 0 {
+		b.WriteString("It stands in no table.\n")
+	}
+	tries, failed := c.gather.Heard(id)
+	fmt.Fprintf(&b, "Reports that wait to be heard: %d tries, %d without a good answer.\n", tries, failed)
+	reasons := 0
+	for _, l := range c.logs {
+		if words := strings.FieldsFunc(l.Text, func(r rune) bool { return r == ' ' || r == ':' || r == ',' }); slices.Contains(words, name) {
+			reasons++
+			fmt.Fprintf(&b, "%s %s: %s\n", stamp(l.At), l.From, l.Text)
+		}
+	}
+	if reasons == 0 {
+		b.WriteString("No line of the log names it.\n")
+	}
+	return b.String()
+}
+
+func (o *Operators) getWeight(c *Core, args []string) string {
+	if len(args) != 1 {
+		return "'get weight' expects one server's name.\n"
+	}
+	id, ok := c.names.Server(args[0])
+	if !ok {
+		return runtimeapi.NoServer
+	}
+	var b strings.Builder
+	for _, l := range c.plane.Tables() {
+		if l.Server == id {
+			fmt.Fprintf(&b, "%d: %d (initial 1)\n", l.Table, l.Published)
+		}
+	}
+	return cmp.Or(b.String(), "In no table.\n")
+}
--- /dev/null
+++ b/list/list.go
@@ -0,0 +1,361 @@
+// Package list is where a governor's list of servers comes from: a file that is watched, or a service over HTTP
+// that is asked by long poll. Both tell whole lists and changes with a revision, and failures only to those who
+// asked; what to do then is the module's to decide.
+package list
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/fsnotify/fsnotify"
+
+	"cressknot/fleet"
+	"cressknot/steer"
+)
+
+const (
+	sizeMost    = 64 << 20 // bytes of a list: 100,000 servers take some 15 MB
+	serversMost = 200_000
+)
+
+// Server is one entry, as files and the service write it.
+type Server struct {
+	Name    string    `json:"name"`
+	Addr    string    `json:"addr"` // host:port
+	Zone    string    `json:"zone"`
+	Kind    string    `json:"kind,omitempty"`
+	Cell    uint16    `json:"cell,omitempty"`
+	State   string    `json:"state,omitempty"`  // "ready" (also ""), "draining" or "gone"
+	Started time.Time `json:"started,omitzero"` // its latest start; absent: long ago
+	Weight  float64   `json:"weight,omitempty"`
+}
+
+// Document is a whole list, or the changes since a revision.
+type Document struct {
+	Rev     uint64   `json:"rev"`
+	Changes bool     `json:"changes,omitempty"` // only what changed
+	Servers []Server `json:"servers"`
+}
+
+// Update is what a source tells.
+type Update struct {
+	Scope fleet.ListScope
+	Doc   Document
+	Err   error // of a ListFailed, or a note beside a list that was kept
+}
+
+// Source is where lists come from. Watch and Fetch are as the module orders them; a source that follows by itself
+// does so from Start on.
+type Source interface {
+	Start(ctx context.Context, sink func(Update)) error
+	Watch(on bool)
+	Fetch()
+}
+
+// Decode reads a document. Errors name the byte or the entry.
+func Decode(text []byte) (Document, error) {
+	var d Document
+	dec := json.NewDecoder(bytes.NewReader(text))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&d); err != nil {
+		return Document{}, fmt.Errorf("list: byte %d: %w", dec.InputOffset(), err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return Document{}, fmt.Errorf("list: byte %d: more after its end", dec.InputOffset())
+	}
+	if len(d.Servers) > serversMost {
+		return Document{}, fmt.Errorf("list: %d servers, %d are the most", len(d.Servers), serversMost)
+	}
+	seen := make(map[string]bool, len(d.Servers))
+	for i, s := range d.Servers {
+		switch {
+		case s.Name == "":
+			return Document{}, fmt.Errorf("list: servers[%d]: no name", i)
+		case seen[s.Name]:
+			return Document{}, fmt.Errorf("list: servers[%d]: %q stands twice", i, s.Name)
+		case s.State != "" && s.State != "ready" && s.State != "draining" && s.State != "gone":
+			return Document{}, fmt.Errorf("list: servers[%d]: state %q is none of ready, draining, gone", i, s.State)
+		case s.Addr == "" && s.State != "gone":
+			return Document{}, fmt.Errorf("list: servers[%d]: %q has no addr", i, s.Name)
+		}
+		seen[s.Name] = true
+	}
+	return d, nil
+}
+
+func readFile(path string) (Document, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return Document{}, fmt.Errorf("list: %w", err)
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.LimitReader(f, sizeMost+1))
+	if err != nil {
+		return Document{}, fmt.Errorf("list: %w", err)
+	}
+	if len(text) > sizeMost {
+		return Document{}, fmt.Errorf("list: %s is over %d bytes", path, sizeMost)
+	}
+	d, err := Decode(text)
+	if err != nil {
+		return Document{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return d, nil
+}
+
+// ReadCache reads the list that Cache kept, for a start without the list's source.
+func ReadCache(path string) (Document, error) { return readFile(path) }
+
+// Cache keeps a whole list: written aside, synced and renamed, so that a cut leaves the older one.
+func Cache(path string, d Document) error {
+	text, err := json.Marshal(d)
+	if err != nil {
+		return fmt.Errorf("list cache: %w", err)
+	}
+	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".new-*")
+	if err != nil {
+		return fmt.Errorf("list cache: %w", err)
+	}
+	_, err = f.Write(text)
+	err = errors.Join(err, f.Sync(), f.Close())
+	if err == nil {
+		err = os.Rename(f.Name(), path)
+	}
+	if err != nil {
+		os.Remove(f.Name())
+		return fmt.Errorf("list cache: %w", err)
+	}
+	return nil
+}
+
+// File is a list in a file, read whenever its folder tells of a change.
+type File struct {
+	Path      string
+	OnRequest bool
+	mu        sync.Mutex
+	on        bool
+	sink      func(Update)
+}
+
+// Start reads the file and follows it.
+func (f *File) Start(ctx context.Context, sink func(Update)) error {
+	f.sink, f.on = sink, !f.OnRequest
+	w, err := fsnotify.NewWatcher()
+	if err != nil {
+		return fmt.Errorf("list: %w", err)
+	}
+	if err := w.Add(filepath.Dir(f.Path)); err != nil {
+		w.Close()
+		return fmt.Errorf("list: %w", err)
+	}
+	go func() {
+		defer w.Close()
+		f.read(false)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case e := <-w.Events:
+				if filepath.Base(e.Name) == filepath.Base(f.Path) && !e.Has(fsnotify.Remove) && !e.Has(fsnotify.Chmod) {
+					f.read(false)
+				}
+			case <-w.Errors: // events were lost: look again
+				f.read(false)
+			}
+		}
+	}()
+	return nil
+}
+
+func (f *File) read(asked bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.on && !asked {
+		return
+	}
+	d, err := readFile(f.Path)
+	switch {
+	case err == nil:
+		f.sink(Update{Scope: fleet.ListFull, Doc: d})
+	default: // what was held before stays; a half written file is read again when it is whole
+		f.sink(Update{Scope: fleet.ListFailed, Err: err})
+	}
+}
+
+// Watch follows the file from now on, or no more.
+func (f *File) Watch(on bool) {
+	f.mu.Lock()
+	f.on = on
+	f.mu.Unlock()
+	if on {
+		go f.read(true)
+	}
+}
+
+// Fetch reads it once.
+func (f *File) Fetch() { go f.read(true) }
+
+// HTTP is a list service: GET url?rev=N&wait=S answers with a document, or 304 where nothing changed since
+// revision N for S seconds.
+type HTTP struct {
+	URL       string
+	Wait      fleet.Time
+	OnRequest bool
+	ctx       context.Context
+	sink      func(Update)
+	client    http.Client
+	mu        sync.Mutex
+	rev       uint64
+	cancel    context.CancelFunc // of the watch that runs
+}
+
+// Start begins to follow the service, unless it is to be asked first.
+func (h *HTTP) Start(ctx context.Context, sink func(Update)) error {
+	if _, err := url.Parse(h.URL); err != nil {
+		return fmt.Errorf("list: %w", err)
+	}
+	h.ctx, h.sink = ctx, sink
+	if !h.OnRequest {
+		h.Watch(true)
+	}
+	return nil
+}
+
+// Watch follows changes. On request, a failure ends the watch and is told; else it is tried again.
+func (h *HTTP) Watch(on bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.cancel != nil {
+		h.cancel()
+		h.cancel = nil
+	}
+	if !on {
+		return
+	}
+	ctx, cancel := context.WithCancel(h.ctx)
+	h.cancel = cancel
+	go h.follow(ctx)
+}
+
+func (h *HTTP) follow(ctx context.Context) {
+	redial := steer.NewRedial(uint64(time.Now().UnixNano()))
+	first := true
+	for ctx.Err() == nil {
+		wait := h.Wait
+		if first {
+			wait = 0
+		}
+		if err := h.ask(ctx, wait, first); err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			h.sink(Update{Scope: fleet.ListFailed, Err: err})
+			if h.OnRequest {
+				return
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(time.Duration(redial.Failed())):
+			}
+			continue
+		}
+		first = false
+		redial.Stood()
+	}
+}
+
+// Fetch asks for the whole list once.
+func (h *HTTP) Fetch() {
+	go func() {
+		if err := h.whole(h.ctx); err != nil && h.ctx.Err() == nil {
+			h.sink(Update{Scope: fleet.ListFailed, Err: err})
+		}
+	}()
+}
+
+func (h *HTTP) whole(ctx context.Context) error {
+	d, changed, err := h.get(ctx, 0, 0)
+	if err != nil || !changed {
+		return err
+	}
+	h.told(d)
+	return nil
+}
+
+// ask polls once. The answer to the first poll of a watch is told even where nothing changed, as it is the answer
+// that was asked for.
+func (h *HTTP) ask(ctx context.Context, wait fleet.Time, first bool) error {
+	h.mu.Lock()
+	rev := h.rev
+	h.mu.Unlock()
+	d, changed, err := h.get(ctx, rev, wait)
+	if err != nil {
+		return err
+	}
+	if changed {
+		h.told(d)
+	} else if first {
+		h.sink(Update{Scope: fleet.ListDelta, Doc: Document{Rev: rev, Changes: true}})
+	}
+	return nil
+}
+
+func (h *HTTP) told(d Document) {
+	h.mu.Lock()
+	h.rev = d.Rev
+	h.mu.Unlock()
+	scope := fleet.ListFull
+	if d.Changes {
+		scope = fleet.ListDelta
+	}
+	h.sink(Update{Scope: scope, Doc: d})
+}
+
+func (h *HTTP) get(ctx context.Context, rev uint64, wait fleet.Time) (d Document, changed bool, err error) {
+	within, cancel := context.WithTimeout(ctx, time.Duration(wait+steer.AnswerWithin))
+	defer cancel()
+	to, err := url.Parse(h.URL)
+	if err != nil {
+		return d, false, fmt.Errorf("list: %w", err)
+	}
+	q := to.Query()
+	q.Set("rev", strconv.FormatUint(rev, 10))
+	q.Set("wait", strconv.FormatFloat(wait.Seconds(), 'f', -1, 64))
+	to.RawQuery = q.Encode()
+	req, err := http.NewRequestWithContext(within, http.MethodGet, to.String(), nil)
+	if err != nil {
+		return d, false, fmt.Errorf("list: %w", err)
+	}
+	res, err := h.client.Do(req)
+	if err != nil {
+		return d, false, fmt.Errorf("list: %w", err)
+	}
+	defer res.Body.Close()
+	switch res.StatusCode {
+	case http.StatusNotModified:
+		return d, false, nil
+	case http.StatusOK:
+	default:
+		return d, false, fmt.Errorf("list: %s", res.Status)
+	}
+	text, err := io.ReadAll(io.LimitReader(res.Body, sizeMost+1))
+	if err != nil {
+		return d, false, fmt.Errorf("list: %w", err)
+	}
+	if len(text) > sizeMost {
+		return d, false, fmt.Errorf("list: an answer of over %d bytes", sizeMost)
+	}
+	d, err = Decode(text)
+	return d, true, err
+}
--- /dev/null
+++ b/serve/serve.go
@@ -0,0 +1,168 @@
+// Package serve puts a governor together from its settings and runs it until it is told to stop.
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cressknot/config"
+	"cressknot/fleet"
+	"cressknot/front"
+	"cressknot/front/haproxy"
+	"cressknot/governor"
+	"cressknot/list"
+	"cressknot/records"
+)
+
+// Version is the program's.
+const Version = "0.2.0-dev"
+
+// Governor runs the governor of a settings file. SIGHUP reads the file again, the first SIGINT or SIGTERM lets orders
+// in hand leave and stops, a second one ends the program at once.
+func Governor(path string) error {
+	s, err := config.Load(path)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	return run(path, s, signals)
+}
+
+func run(path string, s *config.Settings, signals <-chan os.Signal) error {
+	out, closeLog, err := logTo(s)
+	if err != nil {
+		return err
+	}
+	defer closeLog()
+	log := zerolog.New(out).With().Timestamp().Str("governor", s.Name).Logger()
+	setLevel(s)
+
+	names := governor.NewNames()
+	proxies := s.Fleet()
+	site := s.Site()
+	core := governor.NewCore(site, s.Seed, proxies, names)
+	carrier, err := frontOf(s, site, proxies, names)
+	if err != nil {
+		return err
+	}
+	parts := governor.Parts{Core: core, Names: names, Front: carrier, Source: sourceOf(s), Log: log,
+		Cache: s.List.Cache, ProbePath: s.Reports.ProbePath}
+	if s.List.Cache != "" {
+		switch doc, err := list.ReadCache(s.List.Cache); {
+		case err == nil:
+			parts.Cached = &doc
+			log.Info().Int("servers", len(doc.Servers)).Uint64("rev", doc.Rev).Msg("starts from the list kept on disk")
+		case !errors.Is(err, os.ErrNotExist):
+			log.Warn().Err(err).Msg("the list kept on disk can't be used")
+		}
+	}
+	loop := governor.NewLoop(parts)
+	start := records.Start{Governor: s.Name, Site: site, Seed: s.Seed}
+	if err := loop.RecordTo(s.Records, start); err != nil {
+		return err
+	}
+	if s.Operators.Socket != "" {
+		o, err := governor.ServeOperators(loop, s.Operators.Socket, Version)
+		if err != nil {
+			return err
+		}
+		defer o.Close()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		for sig := range signals {
+			if sig == syscall.SIGHUP {
+				s = reload(path, s, log, loop, start)
+				continue
+			}
+			if ctx.Err() != nil {
+				log.Warn().Msg("told to stop twice: ends at once")
+				os.Exit(1)
+			}
+			log.Info().Stringer("signal", sig.(syscall.Signal)).Msg("stops: orders in hand leave first")
+			cancel()
+		}
+	}()
+	log.Info().Str("version", Version).Int("proxies", len(proxies)).Str("front", s.Front.Kind).Msg("governs")
+	err = loop.Run(ctx, time.Duration(s.Operators.Stop))
+	log.Info().Err(err).Msg("stopped")
+	return err
+}
+
+// reload takes over what may change and refuses a file that asks for more, whole.
+func reload(path string, s *config.Settings, log zerolog.Logger, loop *governor.Loop, start records.Start) *config.Settings {
+	fresh, err := config.Load(path)
+	if err != nil {
+		log.Error().Err(err).Msg("settings not reloaded: what stood stays")
+		return s
+	}
+	if fixed := config.Unchangeable(s, fresh); len(fixed) > 0 {
+		log.Error().Strs("fields", fixed).Msg("settings not reloaded: these need a restart; what stood stays")
+		return s
+	}
+	if fresh.Log.Format != s.Log.Format || fresh.Log.File != s.Log.File {
+		log.Error().Strs("fields", []string{"log.format", "log.file"}).Msg("settings not reloaded: these need a restart; what stood stays")
+		return s
+	}
+	if fresh.Records != s.Records {
+		if err := loop.RecordTo(fresh.Records, start); err != nil {
+			log.Error().Err(err).Msg("settings not reloaded: what stood stays")
+			_ = loop.RecordTo(s.Records, start)
+			return s
+		}
+	}
+	setLevel(fresh)
+	log.Info().Msg("settings reloaded")
+	return fresh
+}
+
+func setLevel(s *config.Settings) {
+	if level, err := zerolog.ParseLevel(s.Log.Level); err == nil {
+		zerolog.SetGlobalLevel(level)
+	}
+}
+
+func logTo(s *config.Settings) (io.Writer, func(), error) {
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	var out io.Writer = os.Stderr
+	done := func() {}
+	if s.Log.File != "" {
+		f, err := os.OpenFile(s.Log.File, os.O_WRONLY|os.O_CREATE|os.O_APPEND, 0o640)
+		if err != nil {
+			return nil, nil, fmt.Errorf("log: %w", err)
+		}
+		out, done = f, func() { f.Close() }
+	}
+	if s.Log.Format == "console" {
+		out = zerolog.ConsoleWriter{Out: out, TimeFormat: "15:04:05.000", NoColor: s.Log.File != "" || !strings.Contains(os.Getenv("TERM"), "color")}
+	}
+	return out, done, nil
+}
+
+func sourceOf(s *config.Settings) list.Source {
+	if s.List.Source == "http" {
+		return &list.HTTP{URL: s.List.URL, Wait: fleet.Time(s.List.Wait), OnRequest: s.List.OnRequest}
+	}
+	return &list.File{Path: s.List.Path, OnRequest: s.List.OnRequest}
+}
+
+func frontOf(s *config.Settings, site fleet.Site, proxies []front.Proxy, names *governor.Names) (front.Front, error) {
+	switch s.Front.Kind {
+	case "runtime":
+		return haproxy.New(haproxy.Options{Proxies: proxies, Classes: s.Backends(), Map: s.Front.Map,
+			Table: s.Front.Table, Admission: site.Admission, Names: names}), nil
+	}
+	return nil, fmt.Errorf("front %q is not there yet", s.Front.Kind)
+}
--- a/steer/channel.go
+++ b/steer/channel.go
@@ -325,6 +325,16 @@
 	}
 }
 
+// Idle tells that nothing waits or travels.
+func (p *Plane) Idle() bool {
+	for _, x := range p.order {
+		if len(x.flying) > 0 || len(x.due) > 0 || len(x.pending) > 0 {
+			return false
+		}
+	}
+	return p.head == len(p.queue)
+}
+
 // Alarms gives what staff should hear of since the last call.
 func (p *Plane) Alarms() []Alarm {
 	a := p.alarms
