--- a/governor/core.go
+++ b/governor/core.go
@@ -230,7 +230,7 @@
 	}
 	for _, s := range u.Doc.Servers {
 		zone, ok := c.zones[s.Zone]
-		if !ok {
+		if !ok && s.State != "gone" { // one that is gone needs no place
 			c.log(out, Line{now, "error", "list", fmt.Sprintf("server %s: zone %q is none of this site's; left out", s.Name, s.Zone)})
 			continue
 		}
--- /dev/null
+++ b/internal/drill/drill.go
@@ -0,0 +1,445 @@
+package drill
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"cressknot/internal/rules"
+	"cressknot/internal/standin"
+)
+
+const (
+	notice     = 800 * time.Millisecond // the list service hears of a death so much later
+	listed     = 200 * time.Millisecond // and of a start
+	lookEvery  = 10 * time.Millisecond  // between two looks at whether a withdrawal has arrived
+	callMost   = 60 * time.Second       // longest that any call to a stand-in lasts
+	perTryPart = 1.0
+)
+
+// Options say how a day is played.
+type Options struct {
+	Day      *Day
+	Launch   func(config string) *exec.Cmd // a governor's process
+	Progress io.Writer                     // a line while it runs; nil: none
+	Keep     string                        // folder that keeps settings, logs and records; "": a temporary one
+	Alter    func(settings map[string]any) // breaks a governor on purpose, for tests of the rules
+	Strict   func(*rules.Figures)          // judges by other figures
+	Records  bool
+}
+
+type governor struct {
+	name, config, socket, log string
+	mu                        sync.Mutex
+	cmd                       *exec.Cmd
+	cpu                       time.Duration // of processes that ended
+	rssMost                   int64
+}
+
+type play struct {
+	Options
+	dir        string
+	watch      *rules.Watch
+	lister     *standin.Lister
+	nodes      []*standin.Node
+	zoneOf     map[string]string
+	proxies    []*standin.Proxy
+	zones      []string // by proxy
+	governors  []*governor
+	ownerOf    []int // governor of a proxy
+	rng        *rand.Rand
+	mu         sync.Mutex
+	ailing     map[string]bool
+	burst      atomic.Uint64 // float bits: factor of all visits
+	hot        atomic.Int64  // proxy that gets more, -1: none
+	hotBy      atomic.Uint64
+	started    time.Time
+	tally      tally
+	report     *Report
+	background sync.WaitGroup
+}
+
+// Play plays a day and judges it.
+func Play(ctx context.Context, o Options) (*Report, error) {
+	p := &play{Options: o, watch: rules.NewWatch(), zoneOf: map[string]string{}, ailing: map[string]bool{},
+		rng: rand.New(rand.NewPCG(o.Day.Seed, 7)), report: &Report{Day: o.Day.Name}}
+	p.burst.Store(math.Float64bits(1))
+	p.hot.Store(-1)
+	p.tally.byClass = make([]classTally, len(o.Day.Classes))
+	var err error
+	if p.dir = o.Keep; p.dir == "" {
+		if p.dir, err = os.MkdirTemp("", "drill"); err != nil {
+			return nil, err
+		}
+		defer os.RemoveAll(p.dir)
+	} else if err := os.MkdirAll(p.dir, 0o755); err != nil {
+		return nil, err
+	}
+	defer p.close()
+	if err := p.raise(); err != nil {
+		return nil, err
+	}
+	day, cancel := context.WithTimeout(ctx, time.Duration(o.Day.Length))
+	defer cancel()
+	p.started = time.Now()
+	p.callers(day)
+	p.troubles(day)
+	p.sample(day)
+	<-day.Done()
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	p.finish()
+	return p.report, nil
+}
+
+// raise starts all stand-ins and governors.
+func (p *play) raise() error {
+	d := p.Day
+	var err error
+	if p.lister, err = standin.NewLister(p.watch); err != nil {
+		return err
+	}
+	work := map[string]time.Duration{}
+	var classes []standin.ProxyClass
+	for _, c := range d.Classes {
+		work[c.Name] = time.Duration(c.Work)
+		classes = append(classes, standin.ProxyClass{Name: c.Name, Backend: c.Name, HardStop: time.Duration(c.HardStop),
+			PerTry: time.Duration(perTryPart * float64(c.Expected))})
+	}
+	speeds := []float64{1.5, 1, 0.6}
+	var entries []standin.Entry
+	for i := range d.Nodes {
+		name, zone := fmt.Sprintf("node-%02d", i+1), d.Zones[i%len(d.Zones)]
+		n := standin.NewNode(name, standin.Load{Cores: 2, Speed: speeds[i%len(speeds)] * (0.9 + 0.2*p.rng.Float64()), Queue: 24,
+			ColdFrom: d.Servers.ColdFrom, ColdFor: time.Duration(d.Servers.ColdFor), FallFactor: d.Servers.FallFactor,
+			FallFor: time.Duration(d.Servers.FallFor), Work: work}, p.watch, d.Seed*1000+uint64(i))
+		if err := n.Up(); err != nil {
+			return err
+		}
+		p.nodes, p.zoneOf[name] = append(p.nodes, n), zone
+		entries = append(entries, p.entry(n, "ready"))
+	}
+	p.lister.Put(entries...)
+	for i := range d.Proxies {
+		zone := d.Zones[i%len(d.Zones)]
+		var standing []standin.Entry
+		for _, at := range p.rng.Perm(len(entries)) {
+			if e := entries[at]; len(standing) < d.Standing && (e.Zone == zone || d.Nodes < 3*len(d.Zones)) {
+				standing = append(standing, e)
+			}
+		}
+		x := standin.NewProxy(standin.ProxySetup{Name: fmt.Sprintf("proxy-%02d", i+1), Zone: zone, Classes: classes,
+			Map: "cressknot", Table: "nodes", ShunAfter: 3, ShunFor: 4 * time.Second, LineDelay: time.Duration(d.LineDelay),
+			Runtime: filepath.Join(p.dir, fmt.Sprintf("p%d.sock", i+1))}, standing, p.watch, d.Seed*2000+uint64(i))
+		if err := x.Up(); err != nil {
+			return err
+		}
+		p.proxies, p.zones = append(p.proxies, x), append(p.zones, zone)
+	}
+	for g := range d.Governors {
+		p.governors = append(p.governors, &governor{name: fmt.Sprintf("governor-%d", g+1)})
+	}
+	for i := range p.proxies {
+		g := (i % len(d.Zones)) % d.Governors // by zone
+		p.ownerOf = append(p.ownerOf, g)
+		p.watch.Owner(p.proxies[i].Name, p.governors[g].name)
+	}
+	for g := range p.governors {
+		if err := p.settings(g); err != nil {
+			return err
+		}
+		if err := p.governors[g].start(p.Launch); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *play) entry(n *standin.Node, state string) standin.Entry {
+	return standin.Entry{Name: n.Name, Addr: n.Addr, Zone: p.zoneOf[n.Name], State: state, Started: n.Started()}
+}
+
+// settings writes a governor's settings.
+func (p *play) settings(g int) error {
+	d, own := p.Day, p.governors[g]
+	own.config = filepath.Join(p.dir, own.name+".json")
+	own.socket = filepath.Join(p.dir, fmt.Sprintf("g%d.sock", g+1))
+	own.log = filepath.Join(p.dir, own.name+".log")
+	var classes, proxies []map[string]any
+	for _, c := range d.Classes {
+		classes = append(classes, map[string]any{"name": c.Name, "effect": c.Effect, "window": span(c.Window),
+			"expected": span(c.Expected), "hardStop": span(c.HardStop), "value": c.Value})
+	}
+	for i, x := range p.proxies {
+		if p.ownerOf[i] == g {
+			proxies = append(proxies, map[string]any{"name": x.Name, "zone": x.Zone, "addr": x.Runtime,
+				"visits": d.Visits / float64(d.Proxies)})
+		}
+	}
+	s := map[string]any{
+		"name": own.name, "seed": d.Seed + uint64(g), "me": g, "governors": d.Governors, "zones": d.Zones, "classes": classes,
+		"proxies": proxies,
+		"list":    map[string]any{"source": "http", "url": p.lister.URL + "?governor=" + own.name, "cache": filepath.Join(p.dir, own.name+".list")},
+		"front":   map[string]any{"kind": d.Front, "admission": d.Admission, "proxies": d.Proxies, "standing": d.Standing, "outlierAfter": 3},
+		"channel": map[string]any{"linesPerS": d.Channel.LinesPerS, "backlog": d.Channel.Backlog, "bare": span(d.Channel.Bare)},
+		"servers": map[string]any{"coldFrom": d.Servers.ColdFrom, "coldFor": span(d.Servers.ColdFor), "fallFactor": d.Servers.FallFactor,
+			"fallFor": span(d.Servers.FallFor), "drainGrace": span(d.Servers.Grace)},
+		"operators": map[string]any{"socket": own.socket},
+		"log":       map[string]any{"file": own.log},
+	}
+	if p.Records {
+		s["records"] = filepath.Join(p.dir, own.name+".records")
+	}
+	if p.Alter != nil {
+		p.Alter(s)
+	}
+	text, err := json.MarshalIndent(s, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(own.config, text, 0o644)
+}
+
+func span(s Span) string { return time.Duration(s).String() }
+
+func (g *governor) start(launch func(string) *exec.Cmd) error {
+	cmd := launch(g.config)
+	out, err := os.OpenFile(g.log+".err", os.O_WRONLY|os.O_CREATE|os.O_APPEND, 0o644)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	cmd.Stderr = out
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("%s: %w", g.name, err)
+	}
+	g.mu.Lock()
+	g.cmd = cmd
+	g.mu.Unlock()
+	return nil
+}
+
+// usage reads the processor time and memory of the process that runs.
+func (g *governor) usage() (cpu time.Duration, rss int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.cmd == nil {
+		return 0, g.rssMost
+	}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", g.cmd.Process.Pid))
+	if err == nil {
+		for _, l := range splitLines(text) {
+			var kb int64
+			if n, _ := fmt.Sscanf(l, "VmHWM: %d kB", &kb); n == 1 {
+				g.rssMost = max(g.rssMost, kb<<10)
+			}
+		}
+	}
+	text, err = os.ReadFile(fmt.Sprintf("/proc/%d/stat", g.cmd.Process.Pid))
+	if err != nil {
+		return 0, g.rssMost
+	}
+	fields := splitFields(text[slices.Index(text, ')')+1:])
+	ticks := int64(0)
+	for _, f := range fields[11:13] { // utime, stime, in hundredths of a second
+		n, _ := strconv.ParseInt(f, 10, 64)
+		ticks += n
+	}
+	return time.Duration(ticks) * 10 * time.Millisecond, g.rssMost
+}
+
+// end kills the process or lets it stop in order.
+func (g *governor) end(sig syscall.Signal) error {
+	g.mu.Lock()
+	cmd := g.cmd
+	g.cmd = nil
+	g.mu.Unlock()
+	if cmd == nil {
+		return nil
+	}
+	if err := cmd.Process.Signal(sig); err != nil {
+		return err
+	}
+	timer := time.AfterFunc(10*time.Second, func() { cmd.Process.Kill() })
+	defer timer.Stop()
+	err := cmd.Wait()
+	if cmd.ProcessState != nil {
+		g.cpu += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+	}
+	if sig != syscall.SIGKILL && err != nil {
+		return fmt.Errorf("%s: %w", g.name, err)
+	}
+	return nil
+}
+
+func (p *play) close() {
+	for _, g := range p.governors {
+		_ = g.end(syscall.SIGKILL)
+	}
+	p.background.Wait()
+	for _, x := range p.proxies {
+		x.Down()
+	}
+	for _, n := range p.nodes {
+		n.Crash()
+	}
+	if p.lister != nil {
+		p.lister.Close()
+	}
+}
+
+// callers lets visits come to each proxy at chance moments, whatever becomes of those before.
+func (p *play) callers(ctx context.Context) {
+	client := &http.Client{Timeout: callMost, Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 10 * time.Second}}
+	var ids atomic.Uint64
+	each := p.Day.Visits / float64(p.Day.Proxies)
+	shares := 0.0
+	for _, c := range p.Day.Classes {
+		shares += c.Share
+	}
+	for i := range p.proxies {
+		rng := rand.New(rand.NewPCG(p.Day.Seed, 100+uint64(i)))
+		heft := 0.4 + 1.2*rng.Float64()
+		p.background.Add(1)
+		go func() {
+			defer p.background.Done()
+			next := time.Now()
+			for ctx.Err() == nil {
+				rate := each * heft * math.Float64frombits(p.burst.Load())
+				if p.hot.Load() == int64(i) {
+					rate += p.Day.Visits * math.Float64frombits(p.hotBy.Load())
+				}
+				next = next.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
+				if wait := time.Until(next); wait > 0 {
+					select {
+					case <-ctx.Done():
+						return
+					case <-time.After(wait):
+					}
+				}
+				draw, class := rng.Float64()*shares, 0
+				for draw -= p.Day.Classes[0].Share; draw > 0 && class < len(p.Day.Classes)-1; {
+					class++
+					draw -= p.Day.Classes[class].Share
+				}
+				p.background.Add(1)
+				go p.call(client, i, class, ids.Add(1))
+			}
+		}()
+	}
+}
+
+func (p *play) call(client *http.Client, proxy, class int, id uint64) {
+	defer p.background.Done()
+	c := p.Day.Classes[class]
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(c.HardStop))
+	defer cancel()
+	began := time.Now()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.proxies[proxy].Visit+"/", nil)
+	if err != nil {
+		return
+	}
+	req.Header.Set("X-Class", c.Name)
+	req.Header.Set("X-Visit", strconv.FormatUint(id, 10))
+	res, err := client.Do(req)
+	status := 0
+	if err == nil {
+		_, _ = io.Copy(io.Discard, res.Body)
+		res.Body.Close()
+		status = res.StatusCode
+	}
+	p.tally.count(class, status, time.Since(began), time.Duration(c.Expected), time.Since(p.started))
+}
+
+// sample looks at weights ten times a day, and prints progress.
+func (p *play) sample(ctx context.Context) {
+	length := time.Duration(p.Day.Length)
+	p.background.Add(1)
+	go func() {
+		defer p.background.Done()
+		tick := time.NewTicker(time.Second)
+		defer tick.Stop()
+		next := length / 20
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+			}
+			at := time.Since(p.started)
+			if p.Progress != nil {
+				fmt.Fprintf(p.Progress, "\r%4.0f s of %.0f s  %s", at.Seconds(), length.Seconds(), p.tally.short())
+			}
+			if at >= next {
+				next += length / 10
+				row := Weights{At: at.Seconds(), Share: map[string]float64{}}
+				for _, x := range p.proxies {
+					for name, share := range x.Weights(p.Day.Classes[0].Name) {
+						row.Share[name] += share * float64(len(p.nodes)) / float64(len(p.proxies))
+					}
+				}
+				p.mu.Lock()
+				p.report.Weights = append(p.report.Weights, row)
+				p.mu.Unlock()
+			}
+		}
+	}()
+}
+
+// finish lets visits end, asks the governors for their counters, stops them and judges.
+func (p *play) finish() {
+	r := p.report
+	for _, g := range p.governors {
+		cpu, rss := g.usage()
+		row := Governor{Name: g.name, CPU: (g.cpu + cpu).Seconds(), RSS: float64(rss) / (1 << 20), Info: map[string]string{}}
+		if text, err := ask(g.socket, "show info\n"); err == nil {
+			for _, l := range splitLines([]byte(text)) {
+				if k, v, ok := cutPair(l); ok {
+					row.Info[k] = v
+				}
+			}
+		} else {
+			r.Troubles = append(r.Troubles, fmt.Sprintf("%s did not answer: %v", g.name, err))
+		}
+		r.Governors = append(r.Governors, row)
+	}
+	p.background.Wait()
+	for _, g := range p.governors {
+		if err := g.end(syscall.SIGTERM); err != nil && !errors.Is(err, os.ErrProcessDone) {
+			r.Troubles = append(r.Troubles, "stopping "+err.Error())
+		}
+	}
+	d := p.Day
+	f := rules.Figures{Bare: time.Duration(d.Channel.Bare), Grace: time.Duration(d.Servers.Grace),
+		ColdFor: time.Duration(d.Servers.ColdFor), ColdFrom: d.Servers.ColdFrom, FallFactor: d.Servers.FallFactor,
+		FallFor: time.Duration(d.Servers.FallFor), LinesPerS: d.Channel.LinesPerS, Backlog: d.Channel.Backlog, Head: 6,
+		MessagesOver: 10 * time.Second, Slack: 250 * time.Millisecond}
+	for _, c := range d.Classes {
+		f.Classes = append(f.Classes, rules.Class{Name: c.Name, Effect: effects[c.Effect], Window: time.Duration(c.Window)})
+	}
+	if p.Strict != nil {
+		p.Strict(&f)
+	}
+	r.Rules = p.watch.Judge(f)
+	r.Length = time.Duration(d.Length).Seconds()
+	r.Classes = p.tally.classes(d)
+	slices.Sort(r.Falls.FromFall)
+	slices.Sort(r.Falls.FromTold)
+}
+
+var effects = map[string]rules.Effect{"safe": rules.Safe, "keyed": rules.Keyed, "unsafe": rules.Unsafe}
--- /dev/null
+++ b/internal/drill/report.go
@@ -0,0 +1,217 @@
+package drill
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"cressknot/internal/rules"
+)
+
+// Report is what a day came to.
+type Report struct {
+	Day       string          `json:"day"`
+	Length    float64         `json:"length_s"`
+	Rules     []rules.Verdict `json:"rules"`
+	Classes   []Class         `json:"classes"`
+	Weights   []Weights       `json:"weights"`
+	Governors []Governor      `json:"governors"`
+	Falls     Falls           `json:"falls"`
+	Troubles  []string        `json:"troubles,omitempty"` // of the drill itself: such a run counts for nothing
+}
+
+// Class is how a class fared.
+type Class struct {
+	Name    string  `json:"name"`
+	Visits  int     `json:"visits"`
+	InTime  int     `json:"in_time"`
+	Late    int     `json:"late"`
+	Refused int     `json:"refused"`
+	Failed  int     `json:"failed"`
+	P50     float64 `json:"p50_ms"`
+	P99     float64 `json:"p99_ms"`
+}
+
+// Weights is what the nodes' shares of the first class were at a time, 1 being an even share.
+type Weights struct {
+	At    float64            `json:"at_s"`
+	Share map[string]float64 `json:"share"`
+}
+
+// Governor is what a governor used and counted.
+type Governor struct {
+	Name string            `json:"name"`
+	CPU  float64           `json:"cpu_s"`
+	RSS  float64           `json:"rss_mib"`
+	Info map[string]string `json:"info"`
+}
+
+// Falls tells how long it took until a proxy had shut a dead node out, in seconds, sorted: from its fall, and from
+// when the list told of it.
+type Falls struct {
+	FromFall []float64 `json:"from_fall_s"`
+	FromTold []float64 `json:"from_told_s"`
+}
+
+// Kept tells whether all rules were kept and the drill itself went well.
+func (r *Report) Kept() bool {
+	return len(r.Troubles) == 0 && !slices.ContainsFunc(r.Rules, func(v rules.Verdict) bool { return len(v.Breaks) > 0 })
+}
+
+type classTally struct {
+	visits, inTime, late, refused, failed int
+	took                                  *hdrhistogram.Histogram
+}
+
+type tally struct {
+	mu      sync.Mutex
+	byClass []classTally
+}
+
+func (t *tally) count(class, status int, took, expected, at time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := &t.byClass[class]
+	if c.took == nil {
+		c.took = hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	}
+	c.visits++
+	switch {
+	case status == http.StatusOK:
+		_ = c.took.RecordValue(took.Microseconds())
+		if took <= expected {
+			c.inTime++
+		} else {
+			c.late++
+		}
+	case status == http.StatusTooManyRequests:
+		c.refused++
+	default:
+		c.failed++
+	}
+}
+
+func (t *tally) short() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all, good int
+	for _, c := range t.byClass {
+		all, good = all+c.visits, good+c.inTime
+	}
+	return fmt.Sprintf("%d visits, %.1f%% handled in time", all, 100*float64(good)/float64(max(1, all)))
+}
+
+func (t *tally) classes(d *Day) (rows []Class) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i, c := range t.byClass {
+		row := Class{Name: d.Classes[i].Name, Visits: c.visits, InTime: c.inTime, Late: c.late, Refused: c.refused, Failed: c.failed}
+		if c.took != nil {
+			row.P50 = float64(c.took.ValueAtQuantile(50)) / 1000
+			row.P99 = float64(c.took.ValueAtQuantile(99)) / 1000
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// quantile of sorted values.
+func quantile(of []float64, q float64) float64 {
+	if len(of) == 0 {
+		return 0
+	}
+	return of[min(len(of)-1, int(q*float64(len(of))))]
+}
+
+// Print writes the report as a table.
+func (r *Report) Print(out io.Writer) {
+	fmt.Fprintf(out, "day %s, %.0f s\n\n%-30s %9s  %s\n", r.Day, r.Length, "rule", "tried", "seen")
+	for _, v := range r.Rules {
+		word := "kept"
+		if len(v.Breaks) > 0 {
+			word = fmt.Sprintf("BROKEN %d times", len(v.Breaks))
+		}
+		fmt.Fprintf(out, "%-30s %9d  %s: %s\n", v.Rule, v.Tried, word, v.Seen)
+		for _, b := range v.Breaks[:min(5, len(v.Breaks))] {
+			fmt.Fprintf(out, "%42s %.2f s: %s\n", "", b.At.Seconds(), b.What)
+		}
+	}
+	fmt.Fprintf(out, "\n%-16s %8s %9s %7s %8s %7s %9s %9s\n", "class", "visits", "in time", "late", "refused", "failed", "p50 ms", "p99 ms")
+	for _, c := range r.Classes {
+		n := 100 / float64(max(1, c.Visits))
+		fmt.Fprintf(out, "%-16s %8d %8.1f%% %6.1f%% %7.1f%% %6.1f%% %9.1f %9.1f\n", c.Name, c.Visits, n*float64(c.InTime),
+			n*float64(c.Late), n*float64(c.Refused), n*float64(c.Failed), c.P50, c.P99)
+	}
+	fmt.Fprintf(out, "\nshares of the first class over time (1 is even)\n%-12s", "at s")
+	names := map[string]bool{}
+	for _, w := range r.Weights {
+		fmt.Fprintf(out, "%6.0f", w.At)
+		for n := range w.Share {
+			names[n] = true
+		}
+	}
+	var order []string
+	for n := range names {
+		order = append(order, n)
+	}
+	slices.Sort(order)
+	const most = 40
+	for _, n := range order[:min(most, len(order))] {
+		fmt.Fprintf(out, "\n%-12s", n)
+		for _, w := range r.Weights {
+			fmt.Fprintf(out, "%6.2f", w.Share[n])
+		}
+	}
+	if len(order) > most {
+		fmt.Fprintf(out, "\n(%d more)", len(order)-most)
+	}
+	fmt.Fprintf(out, "\n\n%-14s %7s %8s %8s %9s %9s %9s %10s %10s %9s\n", "governor", "cpu s", "rss MiB", "turns", "p50 us", "p99 us",
+		"most us", "lines", "messages", "replaced")
+	for _, g := range r.Governors {
+		fmt.Fprintf(out, "%-14s %7.2f %8.1f %8s %9s %9s %9s %10s %10s %9s\n", g.Name, g.CPU, g.RSS, g.Info["Turns"], g.Info["Turn_p50_us"],
+			g.Info["Turn_p99_us"], g.Info["Turn_most_us"], g.Info["Lines_sent"], g.Info["Messages_sent"], g.Info["Lines_replaced"])
+	}
+	if n := len(r.Falls.FromFall); n > 0 {
+		fmt.Fprintf(out, "\nfrom a node's fall until a proxy had shut it out: p50 %.3f s, p99 %.3f s (from the list's word: p50 %.3f s, p99 %.3f s; %d pairs)\n",
+			quantile(r.Falls.FromFall, 0.5), quantile(r.Falls.FromFall, 0.99), quantile(r.Falls.FromTold, 0.5), quantile(r.Falls.FromTold, 0.99), n)
+	}
+	for _, t := range r.Troubles {
+		fmt.Fprintf(out, "\nthe drill itself: %s", t)
+	}
+	if r.Kept() {
+		fmt.Fprintln(out, "\nall rules kept")
+	} else {
+		fmt.Fprintln(out, "\nA RULE BROKE or the drill failed: the run counts for nothing")
+	}
+}
+
+// ask sends one line to a governor's operators' socket.
+func ask(socket, text string) (string, error) {
+	c, err := net.DialTimeout("unix", socket, time.Second)
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(3 * time.Second))
+	if _, err := io.WriteString(c, text); err != nil {
+		return "", err
+	}
+	answer, err := io.ReadAll(c)
+	return string(answer), err
+}
+
+func splitLines(text []byte) []string { return strings.Split(string(text), "\n") }
+
+func splitFields(text []byte) []string { return strings.Fields(string(text)) }
+
+func cutPair(line string) (k, v string, ok bool) {
+	k, v, ok = strings.Cut(line, ": ")
+	return k, v, ok
+}
--- /dev/null
+++ b/internal/drill/troubles.go
@@ -0,0 +1,397 @@
+package drill
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"syscall"
+	"time"
+
+	"cressknot/internal/standin"
+)
+
+// Kinds tells each kind of trouble and what it does, as docs/operate/drill.md has it.
+var Kinds = map[string]func(*play, context.Context, Trouble){
+	"crash":        (*play).crash,
+	"flapping":     (*play).flapping,
+	"drain":        func(p *play, ctx context.Context, t Trouble) { p.drain(ctx, t, time.Duration(t.For)/2) },
+	"preempt":      func(p *play, ctx context.Context, t Trouble) { p.drain(ctx, t, 3*time.Second) },
+	"ageing":       (*play).ageing,
+	"slow":         func(p *play, ctx context.Context, t Trouble) { p.ail(ctx, t, standin.Trouble{Slow: or(t.Size, 5)}) },
+	"hang":         func(p *play, ctx context.Context, t Trouble) { p.ail(ctx, t, standin.Trouble{Hang: true}) },
+	"errors":       func(p *play, ctx context.Context, t Trouble) { p.ail(ctx, t, standin.Trouble{Errors: or(t.Size, 0.6)}) },
+	"answers-lost": func(p *play, ctx context.Context, t Trouble) { p.ail(ctx, t, standin.Trouble{Lost: or(t.Size, 0.3)}) },
+	"class-fails": func(p *play, ctx context.Context, t Trouble) {
+		p.ail(ctx, t, standin.Trouble{Errors: or(t.Size, 0.6), Class: p.class(t)})
+	},
+	"heavy-tail": func(p *play, ctx context.Context, t Trouble) {
+		t.Part = 1
+		p.ail(ctx, t, standin.Trouble{Heavy: 0.02, HeavyBy: or(t.Size, 15), Class: p.class(t)})
+	},
+	"shared-slow": func(p *play, ctx context.Context, t Trouble) {
+		t.Part = 1
+		p.ail(ctx, t, standin.Trouble{Slow: or(t.Size, 2)})
+	},
+	"one-sided": (*play).oneSided,
+	"slow-link": (*play).slowLink,
+	"pauses": func(p *play, ctx context.Context, t Trouble) {
+		p.onOff(ctx, t, standin.Trouble{Pause: true}, time.Duration(or(t.Size, 300))*time.Millisecond)
+	},
+	"neighbour": func(p *play, ctx context.Context, t Trouble) {
+		p.onOff(ctx, t, standin.Trouble{Slow: or(t.Size, 2)}, time.Duration(t.Every))
+	},
+	"reports-late":   (*play).reportsLate,
+	"burst":          (*play).burstVisits,
+	"hot-caller":     (*play).hotCaller,
+	"proxy-restart":  (*play).proxyRestart,
+	"proxy-stall":    (*play).proxyStall,
+	"governor-kill":  (*play).governorKill,
+	"governor-stall": (*play).governorStall,
+	"list-down": func(p *play, ctx context.Context, t Trouble) {
+		p.lister.Fail(true)
+		wait(ctx, t.For)
+		p.lister.Fail(false)
+	},
+	"list-late": func(p *play, ctx context.Context, t Trouble) {
+		p.lister.Late(time.Duration(or(t.Size, 4) * float64(time.Second)))
+		wait(ctx, t.For)
+		p.lister.Late(0)
+	},
+	"cut":         (*play).cut,
+	"slow-reader": (*play).slowReader,
+}
+
+func or(size, otherwise float64) float64 {
+	if size > 0 {
+		return size
+	}
+	return otherwise
+}
+
+// wait waits, or until the day ends.
+func wait(ctx context.Context, d Span) bool { return sleep(ctx, time.Duration(d)) }
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// troubles starts each trouble of the day at its time.
+func (p *play) troubles(ctx context.Context) {
+	for _, t := range p.Day.Troubles {
+		p.background.Add(1)
+		go func() {
+			defer p.background.Done()
+			if wait(ctx, t.At) {
+				Kinds[t.What](p, ctx, t)
+			}
+		}()
+	}
+}
+
+func count(part float64, of int) int { return min(of, max(1, int(math.Round(part*float64(of))))) }
+
+// some draws nodes that nothing else ails.
+func (p *play) some(part float64) (nodes []*standin.Node, release func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := count(part, len(p.nodes))
+	for _, at := range p.rng.Perm(len(p.nodes)) {
+		if x := p.nodes[at]; len(nodes) < n && (!p.ailing[x.Name] || part == 1) {
+			nodes = append(nodes, x)
+			p.ailing[x.Name] = true
+		}
+	}
+	return nodes, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for _, x := range nodes {
+			delete(p.ailing, x.Name)
+		}
+	}
+}
+
+func (p *play) someProxies(part float64) (at []int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rng.Perm(len(p.proxies))[:count(part, len(p.proxies))]
+}
+
+func (p *play) class(t Trouble) string {
+	if t.Class != "" {
+		return t.Class
+	}
+	return p.Day.Classes[0].Name
+}
+
+func (p *play) ail(ctx context.Context, t Trouble, what standin.Trouble) {
+	nodes, release := p.some(t.Part)
+	defer release()
+	for _, n := range nodes {
+		defer n.Ail(what)()
+	}
+	wait(ctx, t.For)
+}
+
+func (p *play) onOff(ctx context.Context, t Trouble, what standin.Trouble, on time.Duration) {
+	nodes, release := p.some(t.Part)
+	defer release()
+	for end := time.Now().Add(time.Duration(t.For)); time.Now().Before(end) && ctx.Err() == nil; {
+		var ends []func()
+		for _, n := range nodes {
+			ends = append(ends, n.Ail(what))
+		}
+		sleep(ctx, on)
+		for _, e := range ends {
+			e()
+		}
+		wait(ctx, t.Every)
+	}
+}
+
+// fall lets nodes die at once; the list hears of it later, and measures when each proxy has shut them out.
+func (p *play) fall(ctx context.Context, nodes []*standin.Node) {
+	fell := time.Now()
+	for _, n := range nodes {
+		n.Crash()
+		p.background.Add(1)
+		go p.measureFall(ctx, n.Name, fell)
+	}
+	if sleep(ctx, notice) {
+		for _, n := range nodes {
+			p.lister.Put(p.entry(n, "gone"))
+		}
+	}
+}
+
+func (p *play) measureFall(ctx context.Context, node string, fell time.Time) {
+	defer p.background.Done()
+	left := map[int]bool{}
+	for i := range p.proxies {
+		left[i] = true
+	}
+	for len(left) > 0 && time.Since(fell) < 8*time.Second && ctx.Err() == nil {
+		for i := range left {
+			if share := p.proxies[i].Weights(p.Day.Classes[0].Name)[node]; share == 0 {
+				delete(left, i)
+				took := time.Since(fell).Seconds()
+				p.mu.Lock()
+				p.report.Falls.FromFall = append(p.report.Falls.FromFall, took)
+				p.report.Falls.FromTold = append(p.report.Falls.FromTold, max(0, took-notice.Seconds()))
+				p.mu.Unlock()
+			}
+		}
+		sleep(ctx, lookEvery)
+	}
+}
+
+// back starts nodes again: they are cold.
+func (p *play) back(ctx context.Context, nodes []*standin.Node) {
+	for _, n := range nodes {
+		if err := n.Up(); err != nil {
+			p.trouble("%v", err)
+		}
+	}
+	sleep(ctx, listed)
+	for _, n := range nodes {
+		p.lister.Put(p.entry(n, "ready"))
+	}
+}
+
+func (p *play) trouble(format string, args ...any) {
+	p.mu.Lock()
+	p.report.Troubles = append(p.report.Troubles, fmt.Sprintf(format, args...))
+	p.mu.Unlock()
+}
+
+func (p *play) crash(ctx context.Context, t Trouble) {
+	nodes, release := p.some(t.Part)
+	defer release()
+	p.fall(ctx, nodes)
+	wait(ctx, t.For)
+	p.back(ctx, nodes)
+}
+
+func (p *play) flapping(ctx context.Context, t Trouble) {
+	nodes, release := p.some(t.Part)
+	defer release()
+	for end := time.Now().Add(time.Duration(t.For)); time.Now().Before(end) && ctx.Err() == nil; {
+		p.fall(ctx, nodes)
+		wait(ctx, t.Every)
+		p.back(ctx, nodes)
+		wait(ctx, t.Every)
+	}
+}
+
+// drain lists nodes as draining, lets them end after so long, and brings them back at the end.
+func (p *play) drain(ctx context.Context, t Trouble, after time.Duration) {
+	nodes, release := p.some(t.Part)
+	defer release()
+	for _, n := range nodes {
+		p.lister.Put(p.entry(n, "draining"))
+	}
+	sleep(ctx, after)
+	for _, n := range nodes {
+		p.lister.Put(p.entry(n, "gone"))
+		n.Crash()
+	}
+	sleep(ctx, time.Duration(t.For)-after)
+	p.back(ctx, nodes)
+}
+
+func (p *play) ageing(ctx context.Context, t Trouble) {
+	nodes, release := p.some(t.Part)
+	defer release()
+	const steps = 10
+	for i := range steps {
+		by := 1 + (or(t.Size, 8)-1)*float64(i+1)/steps
+		for _, n := range nodes {
+			defer n.Ail(standin.Trouble{Slow: by * float64(steps) / steps})()
+		}
+		if !sleep(ctx, time.Duration(t.For)/steps) {
+			return
+		}
+	}
+	p.fall(ctx, nodes)
+	sleep(ctx, 4*time.Second)
+	p.back(ctx, nodes)
+}
+
+func (p *play) oneSided(ctx context.Context, t Trouble) {
+	hit := map[string]bool{}
+	for i, x := range p.proxies {
+		if p.ownerOf[i] == 0 {
+			hit[x.Name] = true
+		}
+	}
+	p.ail(ctx, t, standin.Trouble{Errors: or(t.Size, 0.6), Proxies: hit})
+}
+
+func (p *play) slowLink(ctx context.Context, t Trouble) {
+	hit := map[string]bool{}
+	for i, x := range p.proxies {
+		if p.zones[i] == p.Day.Zones[len(p.Day.Zones)-1] {
+			hit[x.Name] = true
+		}
+	}
+	link := time.Duration(or(t.Size, 400)) * time.Millisecond
+	for _, n := range p.nodes {
+		if p.zoneOf[n.Name] == p.Day.Zones[0] {
+			defer n.Ail(standin.Trouble{Link: link, Proxies: hit})()
+		}
+	}
+	wait(ctx, t.For)
+}
+
+func (p *play) reportsLate(ctx context.Context, t Trouble) {
+	for _, x := range p.proxies {
+		x.ReportLate(time.Duration(or(t.Size, 2) * float64(time.Second)))
+		defer x.ReportLate(0)
+	}
+	wait(ctx, t.For)
+}
+
+func (p *play) burstVisits(ctx context.Context, t Trouble) {
+	p.burst.Store(math.Float64bits(or(t.Size, 1.6)))
+	wait(ctx, t.For)
+	p.burst.Store(math.Float64bits(1))
+}
+
+func (p *play) hotCaller(ctx context.Context, t Trouble) {
+	p.hotBy.Store(math.Float64bits(or(t.Size, 0.2)))
+	p.hot.Store(int64(p.someProxies(0)[0]))
+	wait(ctx, t.For)
+	p.hot.Store(-1)
+}
+
+func (p *play) proxyRestart(ctx context.Context, t Trouble) {
+	at := p.someProxies(t.Part)
+	for _, i := range at {
+		p.proxies[i].Down()
+	}
+	sleep(ctx, max(500*time.Millisecond, time.Duration(t.For)))
+	for _, i := range at {
+		if err := p.proxies[i].Up(); err != nil {
+			p.trouble("%v", err)
+		}
+	}
+}
+
+func (p *play) proxyStall(ctx context.Context, t Trouble) {
+	at := p.someProxies(t.Part)
+	still := time.Duration(or(t.Size, 1000)) * time.Millisecond
+	for end := time.Now().Add(time.Duration(t.For)); time.Now().Before(end) && ctx.Err() == nil; {
+		for _, i := range at {
+			p.proxies[i].Stall(time.Now().Add(still))
+		}
+		sleep(ctx, still+time.Duration(t.Every))
+	}
+}
+
+func (p *play) someGovernors(part float64) []*governor {
+	return p.governors[:count(part, len(p.governors))]
+}
+
+func (p *play) governorKill(ctx context.Context, t Trouble) {
+	for _, g := range p.someGovernors(t.Part) {
+		g.usage()
+		if err := g.end(syscall.SIGKILL); err != nil {
+			p.trouble("%v", err)
+		}
+	}
+	wait(ctx, t.For)
+	for _, g := range p.someGovernors(t.Part) {
+		if err := g.start(p.Launch); err != nil {
+			p.trouble("%v", err)
+		}
+	}
+}
+
+func (p *play) governorStall(ctx context.Context, t Trouble) {
+	still := time.Duration(or(t.Size, 1000)) * time.Millisecond
+	signal := func(s syscall.Signal) {
+		for _, g := range p.someGovernors(t.Part) {
+			g.mu.Lock()
+			if g.cmd != nil {
+				_ = g.cmd.Process.Signal(s)
+			}
+			g.mu.Unlock()
+		}
+	}
+	for end := time.Now().Add(time.Duration(t.For)); time.Now().Before(end) && ctx.Err() == nil; {
+		signal(syscall.SIGSTOP)
+		sleep(ctx, still)
+		signal(syscall.SIGCONT)
+		wait(ctx, t.Every)
+	}
+}
+
+// cut breaks the runtime sessions of proxies again and again, each after some bytes of an order.
+func (p *play) cut(ctx context.Context, t Trouble) {
+	at := p.someProxies(t.Part)
+	for end := time.Now().Add(time.Duration(t.For)); time.Now().Before(end) && ctx.Err() == nil; {
+		for _, i := range at {
+			p.mu.Lock()
+			after := 60 + p.rng.IntN(2000)
+			p.mu.Unlock()
+			p.proxies[i].CutSessions(after)
+		}
+		sleep(ctx, 700*time.Millisecond)
+	}
+	for _, i := range at {
+		p.proxies[i].CutSessions(-1)
+	}
+}
+
+func (p *play) slowReader(ctx context.Context, t Trouble) {
+	at := p.someProxies(t.Part)
+	for _, i := range at {
+		p.proxies[i].ReadSlowly(50 * time.Millisecond)
+		defer p.proxies[i].ReadSlowly(0)
+	}
+	wait(ctx, t.For)
+}
