--- a/governor/core.go
+++ b/governor/core.go
@@ -339,3 +339,6 @@
 	c.logs = append(c.logs[max(0, len(c.logs)+1-logKept):], l)
 	out.Logs = append(out.Logs, l)
 }
+
+// ProxyViews gives what operators see of the proxies that are joined.
+func (c *Core) ProxyViews() []steer.ProxyView { return c.plane.Proxies() }
--- /dev/null
+++ b/governor/governor_test.go
@@ -0,0 +1,467 @@
+package governor_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cressknot/fleet"
+	"cressknot/front"
+	"cressknot/front/haproxy"
+	"cressknot/governor"
+	"cressknot/internal/rules"
+	"cressknot/internal/standin"
+	"cressknot/list"
+	"cressknot/steer"
+)
+
+const backend = "look"
+
+// yard is a front over sockets with stand-in proxies, driven by a plane alone, so that tests choose the orders.
+type yard struct {
+	t       *testing.T
+	plane   *steer.Plane
+	names   *governor.Names
+	front   *haproxy.Front
+	proxies []*standin.Proxy
+	events  chan front.Event
+	streams map[fleet.ProxyID]uint64
+	why     map[fleet.ProxyID]string
+	joins   map[fleet.ProxyID]int
+	start   time.Time
+	watch   *rules.Watch
+	parted  map[fleet.ProxyID]time.Time
+}
+
+func testSite() fleet.Site {
+	return fleet.Site{Zones: []string{"a"}, Classes: []fleet.VisitClass{{Name: backend}}, LinesPerS: 1e6, MessageHead: 4,
+		BacklogMost: 1e6, Travel: 50 * fleet.Millisecond, TravelMost: 200 * fleet.Millisecond, ColdFor: 10 * fleet.Second,
+		Admission: fleet.AdmitShare}
+}
+
+func standing(n int) (entries []standin.Entry) {
+	for i := range n {
+		entries = append(entries, standin.Entry{Name: fmt.Sprintf("n%d", i), Addr: fmt.Sprintf("127.0.0.1:%d", 9000+i)})
+	}
+	return entries
+}
+
+func newProxy(t *testing.T, dir, name string, watch *rules.Watch, servers int) *standin.Proxy {
+	t.Helper()
+	p := standin.NewProxy(standin.ProxySetup{Name: name, Map: "cressknot", Table: "nodes",
+		Classes: []standin.ProxyClass{{Name: backend, Backend: backend, HardStop: time.Second}},
+		Runtime: filepath.Join(dir, name+".sock")}, standing(servers), watch, 1)
+	return p
+}
+
+func newYard(t *testing.T, proxies, servers int, prepare func(i int, p *standin.Proxy)) *yard {
+	t.Helper()
+	y := &yard{t: t, plane: steer.New(testSite()), names: governor.NewNames(), events: make(chan front.Event, 1<<16),
+		streams: map[fleet.ProxyID]uint64{}, why: map[fleet.ProxyID]string{}, joins: map[fleet.ProxyID]int{},
+		start: time.Now(), watch: rules.NewWatch(), parted: map[fleet.ProxyID]time.Time{}}
+	dir := t.TempDir()
+	l := fleet.List{Scope: fleet.ListFull}
+	for _, e := range standing(servers) {
+		l.Entries = append(l.Entries, fleet.Entry{Server: y.names.Listed(e.Name, e.Addr)})
+	}
+	y.plane.List(1, l)
+	var to []front.Proxy
+	for i := range proxies {
+		p := newProxy(t, dir, fmt.Sprintf("p%d", i), y.watch, min(3, servers))
+		if prepare != nil {
+			prepare(i, p)
+		}
+		if err := p.Up(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(p.Down)
+		y.proxies = append(y.proxies, p)
+		to = append(to, front.Proxy{ID: fleet.ProxyID(i), Name: p.Name, Addr: p.Runtime})
+	}
+	y.front = haproxy.New(haproxy.Options{Proxies: to, Classes: []front.Class{{Name: backend, Backend: backend}},
+		Map: "cressknot", Table: "nodes", Admission: fleet.AdmitShare, Names: y.names})
+	if err := y.front.Start(context.Background(), func(e front.Event) { y.events <- e }); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		_ = y.front.Stop(ctx)
+	})
+	return y
+}
+
+func (y *yard) now() fleet.Time { return fleet.Second + fleet.Time(time.Since(y.start)) }
+
+// until takes events in and sends messages out until the condition holds.
+func (y *yard) until(what string, holds func() bool) {
+	y.t.Helper()
+	deadline := time.After(30 * time.Second)
+	tick := time.NewTicker(2 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		out, _, drops, _ := y.plane.Next(y.now())
+		for _, m := range out {
+			y.front.Send(m)
+		}
+		for _, id := range drops {
+			y.front.Drop(id)
+		}
+		if holds() {
+			return
+		}
+		select {
+		case e := <-y.events:
+			y.take(e)
+		case <-tick.C:
+		case <-deadline:
+			y.t.Fatalf("%s: not within 30 s; refusals %v", what, y.why)
+		}
+	}
+}
+
+func (y *yard) take(e front.Event) {
+	switch e := e.(type) {
+	case front.Up:
+		y.streams[e.Proxy] = e.Stream
+		y.joins[e.Proxy]++
+		y.plane.Join(y.now(), e.Proxy, e.Held)
+	case front.Down:
+		y.why[e.Proxy] = e.Why.Error()
+		y.plane.Leave(e.Proxy)
+	case front.Unreached:
+		y.why[e.Proxy] = e.Why.Error()
+	case front.Progress:
+		y.plane.Progress(y.now(), e.Proxy)
+	case front.Answer:
+		if y.streams[e.Proxy] == e.Stream {
+			y.plane.Answer(y.now(), e.Proxy, e.Seq, e.Failures)
+		}
+	}
+}
+
+// lay orders a table of so many servers for all proxies, with a level and a withdrawal.
+func (y *yard) lay(servers int) {
+	var orders []fleet.Order
+	for i := range servers {
+		orders = append(orders, fleet.Share{Server: fleet.ServerID(i), Weight: 0.2 + float32(i)/20})
+	}
+	for i := range y.proxies {
+		orders = append(orders, fleet.Bind{Proxy: fleet.ProxyID(i)})
+	}
+	y.plane.Order(y.now(), append(orders, fleet.Withdraw{Server: 1, Out: true},
+		fleet.Level{Table: fleet.EveryTable, Amount: 0.75}))
+}
+
+// wants tells whether a proxy holds what lay ordered.
+func (y *yard) wants(p *standin.Proxy, servers int) bool {
+	for _, l := range y.plane.Tables() {
+		state := "ready"
+		if l.Withdrawn {
+			state = "maint"
+		}
+		name, _ := y.names.Of(l.Server)
+		if p.Held(backend, name) != fmt.Sprintf("%d %s", l.Published, state) {
+			return false
+		}
+	}
+	return p.Level(backend+".share") == "750"
+}
+
+func (y *yard) allJoined() bool { return len(y.streams) == len(y.proxies) }
+
+// TestChannelCutAtEveryByte: the stream drops after any byte of an order of many commands. After it is dialed anew the
+// proxy ends on what is wanted, and what it held already is not sent again.
+func TestChannelCutAtEveryByte(t *testing.T) {
+	const servers = 5
+	whole := newYard(t, 1, servers, nil)
+	whole.until("joined", whole.allJoined)
+	whole.lay(servers)
+	whole.until("laid", func() bool { return whole.wants(whole.proxies[0], servers) && whole.plane.Idle() })
+	_, commands := whole.proxies[0].Commands()
+	bytes := 100 + len(strings.Join(commands, ";")) // of the reading back, and of the order
+	y := newYard(t, bytes, servers, func(i int, p *standin.Proxy) { p.CutOnce(i) })
+	y.until("joined", y.allJoined)
+	again := map[fleet.ProxyID]bool{}
+	y.lay(servers)
+	y.until("all on what is wanted", func() bool {
+		for i := range y.proxies {
+			id := fleet.ProxyID(i)
+			if y.joins[id] > 1 && !again[id] { // a binding ends with its stream, so the module binds anew
+				again[id] = true
+				y.plane.Order(y.now(), []fleet.Order{fleet.Bind{Proxy: id}})
+			}
+		}
+		for _, p := range y.proxies {
+			if !y.wants(p, servers) {
+				return false
+			}
+		}
+		return y.plane.Idle()
+	})
+	cut := 0
+	for i := range y.proxies {
+		if y.joins[fleet.ProxyID(i)] > 1 {
+			cut++
+		}
+	}
+	if cut < len(strings.Join(commands, ";"))*3/4 {
+		t.Errorf("only %d of %d streams were cut inside the order", cut, bytes)
+	}
+	for i, p := range y.proxies {
+		_, log := p.Commands()
+		counts := map[string]int{}
+		for _, c := range log {
+			if counts[c]++; counts[c] > 1 && strings.Contains(c, "weight") {
+				t.Errorf("cut at byte %d: %q was carried out %d times", i, c, counts[c])
+			}
+		}
+	}
+}
+
+// TestRepeatedOrderDoesNothing: after a reconnect with nothing new to say, nothing is said.
+func TestRepeatedOrderDoesNothing(t *testing.T) {
+	y := newYard(t, 1, 4, nil)
+	y.until("joined", y.allJoined)
+	y.lay(4)
+	y.until("laid", func() bool { return y.wants(y.proxies[0], 4) && y.plane.Idle() })
+	y.proxies[0].Commands()
+	y.front.Drop(0)
+	y.until("joined again", func() bool { return y.joins[0] == 2 })
+	y.plane.Order(y.now(), []fleet.Order{fleet.Bind{Proxy: 0}, fleet.Mark{ID: 9}})
+	y.until("at rest", y.plane.Idle)
+	if n, log := y.proxies[0].Commands(); n > 0 {
+		t.Errorf("%d commands for what stood: %q", n, log)
+	}
+}
+
+// TestProxyRestartsWhileOrdersAreOnTheWay: it comes back with its standing tables and ends on what is wanted.
+func TestProxyRestartsWhileOrdersAreOnTheWay(t *testing.T) {
+	y := newYard(t, 2, 30, nil)
+	y.until("joined", y.allJoined)
+	y.proxies[0].ReadSlowly(20 * time.Millisecond)
+	y.lay(30)
+	y.until("half way", func() bool { return y.proxies[0].Held(backend, "n8") != "No such server." })
+	y.proxies[0].Down()
+	y.proxies[0].ReadSlowly(0)
+	if err := y.proxies[0].Up(); err != nil {
+		t.Fatal(err)
+	}
+	y.until("joined again", func() bool { return y.joins[0] == 2 })
+	y.plane.Order(y.now(), []fleet.Order{fleet.Bind{Proxy: 0}})
+	y.until("all on what is wanted", func() bool { return y.wants(y.proxies[0], 30) && y.wants(y.proxies[1], 30) })
+}
+
+// TestSlowReaderDelaysNoOther: one proxy takes 50 ms for each command; the other has its table long before.
+func TestSlowReaderDelaysNoOther(t *testing.T) {
+	y := newYard(t, 2, 30, nil)
+	y.until("joined", y.allJoined)
+	y.proxies[0].ReadSlowly(50 * time.Millisecond)
+	y.lay(30)
+	y.until("the quick one has it", func() bool { return y.wants(y.proxies[1], 30) })
+	if y.wants(y.proxies[0], 30) {
+		t.Error("the slow one was not slow")
+	}
+	y.until("the slow one has it too", func() bool { return y.wants(y.proxies[0], 30) })
+}
+
+// TestHandChangesAreFollowed: a server added by hand where it is to be added, one deleted where it is to be set, one
+// that has visits where it is to be deleted.
+func TestHandChangesAreFollowed(t *testing.T) {
+	y := newYard(t, 1, 6, nil)
+	y.until("joined", y.allJoined)
+	p := y.proxies[0]
+	p.ByHand("add", "server", backend+"/n5", "127.0.0.1:9005", "weight", "3")
+	p.ByHand("set", "server", backend+"/n0", "state", "maint")
+	p.ByHand("del", "server", backend+"/n0")
+	y.lay(6)
+	y.until("on what is wanted", func() bool { return y.wants(p, 6) && y.plane.Idle() })
+	if got := p.ByHand("del", "server", backend+"/n2"); !strings.Contains(got, "maintenance") {
+		t.Errorf("a ready server was deleted: %q", got)
+	}
+}
+
+// TestOddFarEnds: one answers garbage, one never, one calls itself by another's name, one has no map; all are told by
+// name and reason, and a sound one beside them is served.
+func TestOddFarEnds(t *testing.T) {
+	dir := t.TempDir()
+	scripted := func(name, answer string) front.Proxy {
+		path := filepath.Join(dir, name+".sock")
+		l, err := net.Listen("unix", path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer c.Close()
+					if answer == "" {
+						_, _ = c.Read(make([]byte, 1))
+						time.Sleep(time.Minute)
+						return
+					}
+					_, _ = c.Write([]byte(answer))
+					_, _ = c.Read(make([]byte, 1<<16))
+					<-time.After(time.Second)
+				}()
+			}
+		}()
+		return front.Proxy{Name: name, Addr: path}
+	}
+	sound := newProxy(t, dir, "sound", rules.NewWatch(), 3)
+	if err := sound.Up(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(sound.Down)
+	state := "1\n# be_id be_name srv_id srv_name srv_addr srv_op_state srv_admin_state srv_uweight srv_port\n\n"
+	proxies := []front.Proxy{
+		scripted("garbage", "\n> HTTP/1.1 400 Bad request\n\n"),
+		scripted("half", "\n> node: half\n\n> 1\n# be_id srv_id\n\n"),
+		scripted("twin", "\n> node: sound\n\n"),
+		scripted("bare", "\n> node: bare\n\n> "+state+"> Unknown map identifier. Please use #<id> or <file>.\n\n"),
+		scripted("chatty", "\n> node: chatty\n\n> "+state+"> \n> what\n\n"),
+		{Name: "sound", Addr: sound.Runtime},
+		{Name: "nobody", Addr: filepath.Join(dir, "nobody.sock")},
+	}
+	for i := range proxies {
+		proxies[i].ID = fleet.ProxyID(i)
+	}
+	y := &yard{t: t, plane: steer.New(testSite()), names: governor.NewNames(), events: make(chan front.Event, 1<<16),
+		streams: map[fleet.ProxyID]uint64{}, why: map[fleet.ProxyID]string{}, joins: map[fleet.ProxyID]int{}, start: time.Now()}
+	y.front = haproxy.New(haproxy.Options{Proxies: proxies, Classes: []front.Class{{Name: backend, Backend: backend}},
+		Map: "cressknot", Names: y.names})
+	if err := y.front.Start(context.Background(), func(e front.Event) { y.events <- e }); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = y.front.Stop(context.Background()) }()
+	want := map[fleet.ProxyID]string{0: "is no \"name: value\"", 1: "no column \"be_name\"", 2: "calls itself \"sound\"",
+		3: "has no map cressknot", 4: "an answer to nothing", 6: "no such file"}
+	if p := proxies[0]; p.Name != "garbage" {
+		t.Fatal(p)
+	}
+	want[0] = "answer to" // whatever of it is read first
+	y.until("each told", func() bool {
+		for id, text := range want {
+			if !strings.Contains(y.why[id], text) {
+				return false
+			}
+		}
+		return y.joins[5] == 1
+	})
+	if got := sound.Held(backend, "n1"); got != "100 ready" {
+		t.Errorf("the sound proxy holds %q", got)
+	}
+}
+
+// memory is a list source that tests feed.
+type memory struct {
+	mu   sync.Mutex
+	sink func(list.Update)
+	doc  list.Document
+}
+
+func (m *memory) Start(_ context.Context, sink func(list.Update)) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sink = sink
+	sink(list.Update{Scope: fleet.ListFull, Doc: m.doc})
+	return nil
+}
+func (m *memory) Watch(bool) {}
+func (m *memory) Fetch()     {}
+
+// TestGovernorKilledOutright: a governor lays tables and dies without a word; proxies keep what they hold; a new one
+// starts over, is told that they are not fresh, and at no moment does a proxy lack a line.
+func TestGovernorKilledOutright(t *testing.T) {
+	dir, watch := t.TempDir(), rules.NewWatch()
+	var to []front.Proxy
+	var proxies []*standin.Proxy
+	for i := range 3 {
+		p := newProxy(t, dir, fmt.Sprintf("p%d", i), watch, 3)
+		if err := p.Up(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(p.Down)
+		proxies = append(proxies, p)
+		to = append(to, front.Proxy{ID: fleet.ProxyID(i), Name: p.Name, Addr: p.Runtime, Visits: 1})
+		watch.Owner(p.Name, "g")
+	}
+	doc := list.Document{Rev: 1}
+	for _, e := range standing(6) {
+		watch.Told("g", e.Name, "ready", time.Time{})
+		doc.Servers = append(doc.Servers, list.Server{Name: e.Name, Addr: e.Addr, Zone: "a"})
+	}
+	site := testSite()
+	site.Classes[0] = fleet.VisitClass{Name: backend, Value: 1, Expected: fleet.Second, HardStop: 2 * fleet.Second}
+	site.ReportEvery, site.ReportsPerS, site.BareMost, site.DrainGrace = 200*fleet.Millisecond, 1000, 2*fleet.Second, fleet.Second
+	site.Proxies, site.Governors, site.LoadFields = 3, 1, []fleet.LoadField{fleet.FieldBusy}
+	run := func(seed uint64) (loop *governor.Loop, kill func()) {
+		names := governor.NewNames()
+		f := haproxy.New(haproxy.Options{Proxies: to, Classes: []front.Class{{Name: backend, Backend: backend}}, Map: "cressknot",
+			Table: "nodes", Admission: site.Admission, Names: names})
+		loop = governor.NewLoop(governor.Parts{Core: governor.NewCore(site, seed, to, names), Names: names, Front: f,
+			Source: &memory{doc: doc}, Log: zerolog.Nop()})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- loop.Run(ctx, 0) }()
+		return loop, func() { cancel(); <-done }
+	}
+	bound := func(loop *governor.Loop) bool {
+		all := false
+		_ = loop.Ask(context.Background(), func(c *governor.Core) {
+			all = !slices.ContainsFunc(c.ProxyViews(), func(v steer.ProxyView) bool { return !v.Bound[0] || v.Flying > 0 }) &&
+				len(c.ProxyViews()) == 3
+		})
+		return all
+	}
+	wait := func(what string, holds func() bool) {
+		t.Helper()
+		for end := time.Now().Add(20 * time.Second); !holds(); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%s: not within 20 s", what)
+			}
+		}
+	}
+	loop, kill := run(1)
+	wait("laid", func() bool { return bound(loop) })
+	for _, p := range proxies {
+		if p.Held(backend, "n5") == "No such server." || p.Level("cressknot.steered") != "1" {
+			t.Errorf("%s was not steered: n5 %s", p.Name, p.Held(backend, "n5"))
+		}
+	}
+	kill()
+	for _, p := range proxies {
+		p.Commands()
+	}
+	loop, kill = run(2)
+	defer kill()
+	wait("taken over", func() bool { return bound(loop) })
+	_ = loop.Ask(context.Background(), func(c *governor.Core) {
+		if slices.ContainsFunc(c.ProxyViews(), func(v steer.ProxyView) bool { return v.Fresh }) {
+			t.Error("a proxy that the governor before steered counts as fresh")
+		}
+	})
+	for _, p := range proxies {
+		if n, log := p.Commands(); n > 6 {
+			t.Errorf("%s was sent %d commands for tables that it held: %q", p.Name, n, log)
+		}
+	}
+	for _, v := range watch.Judge(rules.Figures{Bare: time.Millisecond, Grace: time.Second, LinesPerS: 1e6, Backlog: 1e6, Head: 4}) {
+		if len(v.Breaks) > 0 {
+			t.Errorf("%s: %v", v.Rule, v.Breaks)
+		}
+	}
+}
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -40,6 +40,11 @@
 	Alter    func(settings map[string]any) // breaks a governor on purpose, for tests of the rules
 	Strict   func(*rules.Figures)          // judges by other figures
 	Records  bool
+
+	// Faults at the front, for tests of the rules: what a broken governor would have done.
+	Deaf  bool     // governors hear of no change of the list, though the service tells it
+	Force []string // commands that every proxy is made to follow, again and again, as if its governor sent them
+	Crowd bool     // every proxy is made to send all visits to the node that started last
 }
 
 type governor struct {
@@ -98,6 +103,7 @@
 	p.started = time.Now()
 	p.callers(day)
 	p.troubles(day)
+	p.force(day)
 	p.sample(day)
 	<-day.Done()
 	if ctx.Err() != nil {
@@ -124,7 +130,7 @@
 	speeds := []float64{1.5, 1, 0.6}
 	var entries []standin.Entry
 	for i := range d.Nodes {
-		name, zone := fmt.Sprintf("node-%02d", i+1), d.Zones[i%len(d.Zones)]
+		name, zone := nodeName(i), d.Zones[i%len(d.Zones)]
 		n := standin.NewNode(name, standin.Load{Cores: 2, Speed: speeds[i%len(speeds)] * (0.9 + 0.2*p.rng.Float64()), Queue: 24,
 			ColdFrom: d.Servers.ColdFrom, ColdFor: time.Duration(d.Servers.ColdFor), FallFactor: d.Servers.FallFactor,
 			FallFor: time.Duration(d.Servers.FallFor), Work: work}, p.watch, d.Seed*1000+uint64(i))
@@ -135,6 +141,7 @@
 		entries = append(entries, p.entry(n, "ready"))
 	}
 	p.lister.Put(entries...)
+	p.lister.Deaf(p.Deaf)
 	for i := range d.Proxies {
 		zone := d.Zones[i%len(d.Zones)]
 		var standing []standin.Entry
@@ -170,6 +177,46 @@
 	return nil
 }
 
+func nodeName(i int) string { return fmt.Sprintf("node-%02d", i+1) }
+
+// force makes proxies follow a broken governor's commands.
+func (p *play) force(ctx context.Context) {
+	if len(p.Force) == 0 && !p.Crowd {
+		return
+	}
+	p.background.Add(1)
+	go func() {
+		defer p.background.Done()
+		for sleep(ctx, lookEvery) {
+			for _, x := range p.proxies {
+				for _, c := range p.Force {
+					x.ByHand(splitFields([]byte(c))...)
+				}
+			}
+			if !p.Crowd {
+				continue
+			}
+			newest := slices.MaxFunc(p.nodes, func(a, b *standin.Node) int { return a.Started().Compare(b.Started()) })
+			if newest.Started().IsZero() || time.Since(newest.Started()) > time.Duration(p.Day.Servers.ColdFor) {
+				continue
+			}
+			for _, x := range p.proxies {
+				p.watch.Message(x.Name, len(p.nodes)) // as far as the rules go, its governor sent this
+				for _, c := range p.Day.Classes {
+					for _, n := range p.nodes {
+						weight := "0"
+						if n == newest {
+							weight = "256"
+							x.ByHand("set", "server", c.Name+"/"+n.Name, "state", "ready")
+						}
+						x.ByHand("set", "server", c.Name+"/"+n.Name, "weight", weight)
+					}
+				}
+			}
+		}
+	}()
+}
+
 func (p *play) entry(n *standin.Node, state string) standin.Entry {
 	return standin.Entry{Name: n.Name, Addr: n.Addr, Zone: p.zoneOf[n.Name], State: state, Started: n.Started()}
 }
--- /dev/null
+++ b/internal/drill/drill_test.go
@@ -0,0 +1,125 @@
+package drill
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	"cressknot/internal/rules"
+	"cressknot/records"
+	"cressknot/serve"
+)
+
+// TestMain lets the test binary be a governor's process.
+func TestMain(m *testing.M) {
+	if path := os.Getenv("DRILL_GOVERNOR"); path != "" {
+		if err := serve.Governor(path); err != nil {
+			os.Stderr.WriteString(err.Error() + "\n")
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func launch(config string) *exec.Cmd {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "DRILL_GOVERNOR="+config)
+	return cmd
+}
+
+func playDay(t *testing.T, name string, change func(*Options)) *Report {
+	t.Helper()
+	day, err := Load(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := Options{Day: day, Launch: launch, Keep: t.TempDir(), Records: true}
+	if change != nil {
+		change(&o)
+	}
+	r, err := Play(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// TestSmallDayKeepsTheRules plays the short bad day, a governor killed outright in it, and replays the records.
+func TestSmallDayKeepsTheRules(t *testing.T) {
+	var dir string
+	r := playDay(t, "small", func(o *Options) { dir = o.Keep })
+	for _, v := range r.Rules {
+		if len(v.Breaks) > 0 || v.Tried == 0 {
+			t.Errorf("%s: tried %d times, %v", v.Rule, v.Tried, v.Breaks)
+		}
+	}
+	if len(r.Troubles) > 0 {
+		t.Errorf("%v", r.Troubles)
+	}
+	f, err := os.Open(dir + "/governor-1.records")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	steps, orders, err := records.Replay("records", f)
+	if err != nil || steps < 20 || orders < 20 {
+		t.Errorf("replayed %d steps, %d orders: %v", steps, orders, err)
+	}
+	if t.Failed() {
+		var b strings.Builder
+		r.Print(&b)
+		t.Log(b.String())
+	}
+}
+
+// TestBrokenGovernorsAreCaught: for each rule, a governor, or a fault at its front, that breaks it.
+func TestBrokenGovernorsAreCaught(t *testing.T) {
+	broken := map[string]func(*Options){
+		// A governor that is told nothing of drains: its list stays as it was, while the service has told it.
+		rules.RuleDrain: func(o *Options) {
+			o.Day.Troubles = []Trouble{{At: Span(2 * time.Second), For: Span(8 * time.Second), What: "drain"}}
+			o.Deaf = true
+		},
+		// One that lets proxies try again after any failure, whatever the class.
+		rules.RuleTwice: func(o *Options) {
+			o.Day.Troubles = []Trouble{{At: Span(time.Second), For: Span(6 * time.Second), What: "answers-lost", Part: 1, Size: 0.6}}
+			o.Force = []string{"add map cressknot bag-issue.retry 2", "set map cressknot bag-issue.retry 2"}
+		},
+		// One that shuts out every server of a class.
+		rules.RuleBare: func(o *Options) {
+			o.Day.Troubles = nil
+			for i := range o.Day.Nodes {
+				o.Force = append(o.Force, "set server slot-look/"+nodeName(i)+" state maint")
+			}
+		},
+		// One that gives a cold server all visits.
+		rules.RuleCold: func(o *Options) {
+			o.Day.Troubles = []Trouble{{At: Span(time.Second), For: Span(2 * time.Second), What: "crash"}}
+			o.Day.Visits = 160
+			o.Crowd = true
+		},
+		// One that sends its whole table anew to all, again and again, past what may wait.
+		rules.RuleQueue: func(o *Options) {
+			o.Day.Troubles = nil
+			o.Strict = func(f *rules.Figures) { f.Backlog = 20 }
+		},
+	}
+	for rule, change := range broken {
+		t.Run(rule, func(t *testing.T) {
+			t.Parallel()
+			r := playDay(t, "small", func(o *Options) {
+				o.Day.Length = Span(12 * time.Second)
+				change(o)
+			})
+			for _, v := range r.Rules {
+				if v.Rule == rule && len(v.Breaks) == 0 {
+					t.Errorf("not caught: %s", v.Seen)
+				}
+			}
+		})
+	}
+}
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -412,8 +412,14 @@
 		all, knowing := 0.0, 0.0
 		for proxy, work := range fall.by {
 			all += work
+			last := time.Duration(-1) // message to this proxy
+			for _, m := range w.messages {
+				if m.proxy == proxy && m.at <= fall.at {
+					last = m.at
+				}
+			}
 			for _, t := range w.history(w.owner[proxy], fall.node) {
-				if t.cold && t.started >= fall.start-time.Millisecond && t.at+f.Grace <= fall.at {
+				if t.cold && t.started >= fall.start-time.Millisecond && (t.at+f.Grace <= fall.at || last > t.at) {
 					knowing += work
 					break
 				}
--- a/internal/standin/lister.go
+++ b/internal/standin/lister.go
@@ -37,6 +37,7 @@
 	late    time.Duration // changes are told so much later
 	server  *http.Server
 	asked   int
+	deaf    bool
 }
 
 // NewLister starts the service.
@@ -88,6 +89,13 @@
 	s.since = make(chan struct{})
 }
 
+// Deaf lets the service tell each governor its first list only, though the watch takes all changes as told.
+func (s *Lister) Deaf(deaf bool) {
+	s.mu.Lock()
+	s.deaf = deaf
+	s.mu.Unlock()
+}
+
 // Late delays changes by so much from now on.
 func (s *Lister) Late(by time.Duration) {
 	s.mu.Lock()
@@ -156,6 +164,9 @@
 				s.watch.Told(governor, name, "gone", time.Time{})
 			}
 		}
+		if s.deaf && doc.Changes {
+			doc.Servers = doc.Servers[:0]
+		}
 		s.mu.Unlock()
 		text, err := json.Marshal(doc)
 		if err != nil {
--- a/steer/channel.go
+++ b/steer/channel.go
@@ -347,8 +347,9 @@
 	Zone     fleet.ZoneID
 	On       []fleet.TableID
 	Bound    []bool
-	Waiting  int // lines that are not written yet
-	Flying   int // messages without answers
+	Fresh    bool // held only standing tables when it joined
+	Waiting  int  // lines that are not written yet
+	Flying   int  // messages without answers
 	Written  int
 	Lines    int // lines held with weight and in use
 	Messages uint64
@@ -358,7 +359,7 @@
 func (p *Plane) Proxies() []ProxyView {
 	var views []ProxyView
 	for _, x := range p.order {
-		v := ProxyView{ID: x.id, Zone: x.zone, On: slices.Clone(x.on), Bound: slices.Clone(x.bound),
+		v := ProxyView{ID: x.id, Zone: x.zone, On: slices.Clone(x.on), Bound: slices.Clone(x.bound), Fresh: x.fresh,
 			Waiting: len(x.pending), Flying: len(x.flying), Written: x.writes}
 		for _, c := range x.sent {
 			if c.Present && c.Weight > 0 && c.State == In {
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -177,8 +177,9 @@
 	zone     fleet.ZoneID
 	on       []fleet.TableID // by class
 	bound    []bool          // by class
-	sent     []Cell          // by server index times classes, then class: what it holds once all is answered
-	own      []Cell          // the same as it was at the join, for classes that are not bound
+	fresh    bool
+	sent     []Cell // by server index times classes, then class: what it holds once all is answered
+	own      []Cell // the same as it was at the join, for classes that are not bound
 	levels   []Level
 	urgent   []key // dirty, in the order of their lines; in pending
 	ordinary []key
@@ -294,7 +295,7 @@
 	p.Leave(id)
 	n := p.classes()
 	x := &proxy{id: id, zone: snap.Zone, on: make([]fleet.TableID, n), bound: make([]bool, n),
-		pending: map[key]bool{}, levels: make([]Level, n), heard: now}
+		pending: map[key]bool{}, levels: make([]Level, n), heard: now, fresh: snap.Fresh}
 	for _, l := range snap.Lines {
 		p.server(l.Server)
 	}
