--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -197,7 +197,8 @@
 				continue
 			}
 			newest := slices.MaxFunc(p.nodes, func(a, b *standin.Node) int { return a.Started().Compare(b.Started()) })
-			if newest.Started().IsZero() || time.Since(newest.Started()) > time.Duration(p.Day.Servers.ColdFor) {
+			// Only once the governors have been told of the start: what comes before is nobody's order.
+			if newest.Started().IsZero() || time.Since(newest.Started()) < 2*listed || time.Since(newest.Started()) > time.Duration(p.Day.Servers.ColdFor) {
 				continue
 			}
 			for _, x := range p.proxies {
