Add the second front: files written aside, synced and swapped, acknowledged by files

The users want files swapped atomically on the same core and under the same rules. front/files writes the JSON of xDS endpoints and a runtime layer for each proxy, reads acknowledgements and counters back as files, puts back what others removed or damaged, and tries again on a full disk.

--- /dev/null
+++ b/front/files/front.go
@@ -0,0 +1,502 @@
+// Package files is the front that pushes files and swaps them atomically: for each proxy a folder, in it the tables as
+// an xDS response of endpoints and the levels as a runtime layer, in the JSON form that proxies of that family read from
+// their file system. The proxy tells by files of its own what it holds and what it counted. docs/design/files.md tells
+// the ways weighed.
+package files
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/maphash"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fsnotify/fsnotify"
+
+	"cressknot/fleet"
+	"cressknot/front"
+	"cressknot/reports"
+	"cressknot/runtimeapi"
+	"cressknot/steer"
+)
+
+// Options say how the proxies are set up; Addr of a proxy is its folder.
+type Options struct {
+	Proxies   []front.Proxy
+	Classes   []front.Class
+	Admission fleet.Admission
+	Names     front.Names
+}
+
+// Front is the front of files.
+type Front struct {
+	opt      Options
+	disk     swapper
+	backends map[string]fleet.ClassID
+	folders  map[string]*folder // by path
+	byID     map[fleet.ProxyID]*folder
+	epoch    string // of this run: tells its versions from those of a run before
+	watcher  *fsnotify.Watcher
+	sink     front.Sink
+	ctx      context.Context
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+	seed     maphash.Seed
+}
+
+var _ front.Front = (*Front)(nil)
+
+// folder is one proxy's.
+type folder struct {
+	front *Front
+	proxy front.Proxy
+	path  string
+
+	mu       sync.Mutex
+	stream   uint64
+	up       bool
+	started  string // of the proxy's run that is up
+	shut     string // acknowledgement that stood when the stream was dropped: only another one begins anew
+	tables   map[string]map[string]Endpoint
+	laid     map[string]bool // backends that the files speak of; others stay as the proxy has them
+	levels   map[string]int
+	wrote    map[string][]byte // by file name: what was put in place
+	sent     []sent            // not acknowledged
+	version  uint64
+	dirty    bool // tables or levels are newer than the files
+	levelsAt uint64
+	polling  bool
+	heard    time.Time // last file of the proxy's
+	redial   steer.Redial
+	retry    *time.Timer
+}
+
+type sent struct {
+	seq            uint64
+	tables, levels uint64 // versions that hold it
+}
+
+// New makes a front. It writes nothing before Start.
+func New(opt Options) *Front {
+	f := &Front{opt: opt, backends: map[string]fleet.ClassID{}, folders: map[string]*folder{}, byID: map[fleet.ProxyID]*folder{},
+		epoch: strconv.FormatInt(time.Now().UnixNano(), 36), seed: maphash.MakeSeed()}
+	for i, c := range opt.Classes {
+		f.backends[c.Backend] = fleet.ClassID(i)
+	}
+	for _, p := range opt.Proxies {
+		path := filepath.Clean(p.Addr)
+		o := &folder{front: f, proxy: p, path: path, wrote: map[string][]byte{},
+			redial: steer.NewRedial(maphash.String(f.seed, p.Name))}
+		f.folders[path], f.byID[p.ID] = o, o
+	}
+	return f
+}
+
+// Start makes the folders, tidies what a cut left, and follows them.
+func (f *Front) Start(ctx context.Context, sink front.Sink) (err error) {
+	f.sink = sink
+	f.ctx, f.cancel = context.WithCancel(ctx)
+	if f.watcher, err = fsnotify.NewWatcher(); err != nil {
+		return fmt.Errorf("files: %w", err)
+	}
+	for path := range f.folders {
+		if err := os.MkdirAll(path, 0o755); err != nil {
+			return fmt.Errorf("files: %w", err)
+		}
+		if err := tidy(path); err != nil {
+			return fmt.Errorf("files: %w", err)
+		}
+		if err := f.watcher.Add(path); err != nil {
+			return fmt.Errorf("files: %s: %w", path, err)
+		}
+	}
+	f.running.Add(1)
+	go f.run()
+	for _, o := range f.folders {
+		o.look(AckFile)
+	}
+	return nil
+}
+
+func (f *Front) run() {
+	defer f.running.Done()
+	silent := time.NewTicker(time.Second)
+	defer silent.Stop()
+	for {
+		select {
+		case <-f.ctx.Done():
+			f.watcher.Close()
+			return
+		case e := <-f.watcher.Events:
+			if o := f.folders[filepath.Dir(e.Name)]; o != nil && !strings.Contains(e.Name, asideMark) && !e.Has(fsnotify.Chmod) {
+				o.look(filepath.Base(e.Name))
+			}
+		case <-f.watcher.Errors: // events were lost: look at all
+			for _, o := range f.folders {
+				for _, name := range []string{AckFile, StatFile, TablesFile, LevelsFile} {
+					o.look(name)
+				}
+			}
+		case now := <-silent.C:
+			for _, o := range f.folders {
+				o.silent(now)
+			}
+		}
+	}
+}
+
+// look acts on a change of a file.
+func (o *folder) look(name string) {
+	o.mu.Lock()
+	var events []front.Event
+	var err error
+	switch name {
+	case AckFile:
+		events, err = o.acknowledged()
+	case StatFile:
+		o.heard = time.Now()
+		if o.up && o.polling {
+			o.polling = false
+			var e front.Event
+			if e, err = o.polled(); err == nil {
+				events = append(events, e)
+			}
+		}
+	case TablesFile, LevelsFile:
+		o.guard(name)
+	}
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		events = append(events, front.Unreached{Proxy: o.proxy.ID, Why: err})
+	}
+	o.mu.Unlock()
+	for _, e := range events {
+		o.front.sink(e)
+	}
+}
+
+// guard puts a file back that somebody else removed or changed.
+func (o *folder) guard(name string) {
+	want := o.wrote[name]
+	if !o.up || want == nil {
+		return
+	}
+	if text, err := readFile(filepath.Join(o.path, name)); err == nil && string(text) == string(want) {
+		return
+	}
+	o.dirty = true
+	o.wrote[name] = nil
+	o.write()
+}
+
+// acknowledged takes in what the proxy says that it holds.
+func (o *folder) acknowledged() (events []front.Event, err error) {
+	text, err := readFile(filepath.Join(o.path, AckFile))
+	if err != nil {
+		return nil, err
+	}
+	ack, err := DecodeAck(text)
+	if err != nil {
+		return nil, err
+	}
+	if ack.Proxy != o.proxy.Name {
+		return nil, fmt.Errorf("%s: the proxy there calls itself %.40q", AckFile, ack.Proxy)
+	}
+	o.heard = time.Now()
+	if o.up && ack.Started != o.started {
+		o.up = false
+		events = append(events, front.Down{Proxy: o.proxy.ID, Stream: o.stream, Why: errors.New("the proxy has started anew")})
+	}
+	if !o.up {
+		if string(text) == o.shut {
+			return events, nil
+		}
+		return append(events, o.begin(ack)), nil
+	}
+	if ack.Error != "" { // it could not take a file: what is wanted is put in place again
+		events = append(events, front.Unreached{Proxy: o.proxy.ID, Why: errors.New(ack.Error)})
+		o.wrote[TablesFile], o.wrote[LevelsFile], o.dirty = nil, nil, true
+		o.write()
+	}
+	tables, levels := o.front.number(ack.Tables), o.front.number(ack.Levels)
+	for len(o.sent) > 0 && o.sent[0].tables <= tables && o.sent[0].levels <= levels {
+		events = append(events, front.Answer{Proxy: o.proxy.ID, Stream: o.stream, Seq: o.sent[0].seq})
+		o.sent = o.sent[1:]
+	}
+	return events, nil
+}
+
+// number gives the counter of a version of this run, 0 for any other.
+func (f *Front) number(version string) uint64 {
+	epoch, count, ok := strings.Cut(version, ".")
+	if n, err := strconv.ParseUint(count, 10, 64); ok && err == nil && epoch == f.epoch {
+		return n
+	}
+	return 0
+}
+
+func (f *Front) versionOf(n uint64) string { return f.epoch + "." + strconv.FormatUint(n, 10) }
+
+// begin makes a stream: what the proxy holds is what the files say, if it says that it holds those.
+func (o *folder) begin(ack Ack) front.Event {
+	f := o.front
+	o.stream++
+	o.up, o.started, o.shut, o.sent, o.polling = true, ack.Started, "", nil, false
+	o.tables, o.levels = map[string]map[string]Endpoint{}, map[string]int{}
+	o.wrote, o.laid = map[string][]byte{}, map[string]bool{}
+	snap := steer.Snapshot{Zone: o.proxy.Zone, Weight: o.proxy.Visits, Fresh: ack.Tables == "",
+		Levels: make([]steer.Level, len(f.opt.Classes))}
+	for _, c := range f.opt.Classes {
+		o.tables[c.Backend] = map[string]Endpoint{}
+	}
+	text, err := readFile(filepath.Join(o.path, HeldFile))
+	var held Tables
+	if err == nil {
+		held, err = DecodeTables(text)
+	}
+	for backend, lines := range held.Backends {
+		class, ours := f.backends[backend]
+		if !ours || err != nil || held.Version != ack.Tables { // then all is sent anew
+			continue
+		}
+		o.laid[backend] = ack.Tables != ""
+		for _, l := range lines {
+			o.tables[backend][l.Name] = l
+			snap.Lines = append(snap.Lines, steer.SnapshotLine{Class: class, Server: f.opt.Names.Learn(l.Name, l.Addr),
+				Cell: steer.Cell{Present: true, Weight: int16(min(l.Weight, runtimeapi.WeightMost)), State: states[l.Health]}})
+		}
+	}
+	if text, err := readFile(filepath.Join(o.path, LevelsFile)); err == nil {
+		if version, levels, err := DecodeLevels(text); err == nil && version == ack.Levels {
+			o.levels = levels
+			for c, class := range f.opt.Classes {
+				amount, told := levels[f.amountKey(class.Name)]
+				retry, too := levels[class.Name+".retry"]
+				if amount == f.amountAll() {
+					amount = -1
+				}
+				snap.Levels[c] = steer.Level{Known: told && too, Amount: int32(amount), Retry: fleet.Retry(retry)}
+			}
+		}
+	}
+	return front.Up{Proxy: o.proxy.ID, Stream: o.stream, Held: snap}
+}
+
+var states = map[string]steer.State{healthIn: steer.In, healthEnds: steer.Drain, healthSick: steer.Out}
+var healths = map[steer.State]string{steer.In: healthIn, steer.Drain: healthEnds, steer.Out: healthSick}
+
+func (f *Front) amountKey(class string) string {
+	if f.opt.Admission == fleet.AdmitRate {
+		return class + ".rate"
+	}
+	return class + ".share"
+}
+
+func (f *Front) amountAll() int {
+	if f.opt.Admission == fleet.AdmitRate {
+		return 1_000_000_000
+	}
+	return 1000
+}
+
+// silent ends a stream whose proxy has written nothing for long.
+func (o *folder) silent(now time.Time) {
+	o.mu.Lock()
+	if !o.up || now.Sub(o.heard) < time.Duration(steer.SilentAfter) {
+		o.mu.Unlock()
+		return
+	}
+	e := front.Down{Proxy: o.proxy.ID, Stream: o.stream, Why: errors.New("it writes no counters any more")}
+	o.end()
+	o.mu.Unlock()
+	o.front.sink(e)
+}
+
+// end closes the stream until the proxy acknowledges something else.
+func (o *folder) end() {
+	text, _ := readFile(filepath.Join(o.path, AckFile))
+	o.up, o.shut, o.sent = false, string(text), nil
+	if o.retry != nil {
+		o.retry.Stop()
+		o.retry = nil
+	}
+}
+
+// polled reads the counters.
+func (o *folder) polled() (front.Event, error) {
+	f := o.front
+	text, err := readFile(filepath.Join(o.path, StatFile))
+	if err != nil {
+		return nil, err
+	}
+	r, err := reports.ReadCounters(text, f.backends, len(f.opt.Classes), f.opt.Names.Server)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", StatFile, err)
+	}
+	if text, err = readFile(filepath.Join(o.path, NodesFile)); err == nil {
+		if err := r.ReadTracked(text, f.opt.Names.Server); err != nil {
+			return nil, fmt.Errorf("%s: %w", NodesFile, err)
+		}
+	}
+	return front.Polled{Proxy: o.proxy.ID, Stream: o.stream, Reading: r}, nil
+}
+
+// Send puts a message's changes into the files.
+func (f *Front) Send(m steer.Message) {
+	o := f.byID[m.Proxy]
+	if o == nil {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.up {
+		return
+	}
+	o.version++
+	for _, c := range m.Changes {
+		if c.Kind == steer.SetLevels {
+			amount := int(c.Level.Amount)
+			if amount < 0 {
+				amount = f.amountAll()
+			}
+			name := f.opt.Classes[c.Class].Name
+			o.levels[f.amountKey(name)], o.levels[name+".retry"] = amount, int(c.Level.Retry)
+			o.levelsAt = o.version
+			continue
+		}
+		backend := f.opt.Classes[c.Class].Backend
+		lines := o.tables[backend]
+		o.laid[backend] = true
+		name, addr := f.opt.Names.Of(c.Server)
+		l := lines[name]
+		if l.Name, l.Addr = name, addr; c.Kind == steer.DelLine {
+			delete(lines, name)
+			continue
+		}
+		if c.Weight >= 0 {
+			l.Weight = int(c.Weight)
+		}
+		if c.State != steer.Stays {
+			l.Health = healths[c.State]
+		}
+		lines[name] = l
+	}
+	o.sent = append(o.sent, sent{m.Seq, o.version, o.levelsAt})
+	o.dirty = true
+	o.write()
+}
+
+// write puts what is wanted in place. Where that fails it is tried again later and later, and the reason is told.
+func (o *folder) write() {
+	if !o.dirty || !o.up || o.retry != nil {
+		return
+	}
+	f := o.front
+	t := Tables{Version: f.versionOf(o.version), Backends: map[string][]Endpoint{}}
+	for backend := range o.laid {
+		if !o.laid[backend] {
+			continue
+		}
+		lines, kept := o.tables[backend], []Endpoint{}
+		for _, l := range lines {
+			if l.Weight > 0 { // a weight of 0 has no form there: the line is left out
+				kept = append(kept, l)
+			}
+		}
+		t.Backends[backend] = kept
+	}
+	err := o.put(TablesFile, func() ([]byte, error) { return EncodeTables(t) })
+	if err == nil && len(o.levels) > 0 {
+		err = o.put(LevelsFile, func() ([]byte, error) { return EncodeLevels(f.versionOf(o.levelsAt), o.levels) })
+	}
+	if err == nil {
+		o.dirty = false
+		o.redial.Stood()
+		return
+	}
+	why := fmt.Errorf("its files were not written and will be again: %w", err)
+	go f.sink(front.Unreached{Proxy: o.proxy.ID, Why: why})
+	o.retry = time.AfterFunc(time.Duration(o.redial.Failed()), func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.retry = nil
+		o.write()
+	})
+}
+
+// put writes a file unless the same stands there by us already.
+func (o *folder) put(name string, encode func() ([]byte, error)) error {
+	text, err := encode()
+	if err != nil {
+		return err
+	}
+	if string(o.wrote[name]) == string(text) {
+		return nil
+	}
+	if err := o.front.disk.swap(filepath.Join(o.path, name), text); err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	o.wrote[name] = text
+	return nil
+}
+
+// Poll asks for the counters: those that the proxy writes next.
+func (f *Front) Poll(id fleet.ProxyID) {
+	if o := f.byID[id]; o != nil {
+		o.mu.Lock()
+		o.polling = o.up
+		o.mu.Unlock()
+	}
+}
+
+// Drop ends a proxy's stream; it begins anew when the proxy acknowledges something else.
+func (f *Front) Drop(id fleet.ProxyID) {
+	o := f.byID[id]
+	if o == nil {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.up {
+		o.end()
+	}
+}
+
+// Stop waits for acknowledgements for as long as the context stands. The files stay: proxies go on by them.
+func (f *Front) Stop(ctx context.Context) error {
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for f.busy() && ctx.Err() == nil {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+		}
+	}
+	f.cancel()
+	f.running.Wait()
+	for _, o := range f.folders {
+		o.mu.Lock()
+		if o.up {
+			o.end()
+		}
+		o.mu.Unlock()
+	}
+	return ctx.Err()
+}
+
+func (f *Front) busy() bool {
+	for _, o := range f.folders {
+		o.mu.Lock()
+		n := len(o.sent)
+		o.mu.Unlock()
+		if n > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/front/haproxy/session.go
+++ b/front/haproxy/session.go
@@ -169,7 +169,7 @@
 			s.watchdog.Stop()
 			s.expect = nil
 		}
-		if s.up && len(events) == 0 {
+		if s.up {
 			events = append(events, front.Progress{Proxy: s.link.proxy.ID, Stream: s.stream})
 		}
 	}
@@ -228,24 +228,13 @@
 		s.link.stood.Store(true)
 		return front.Up{Proxy: id, Stream: s.stream, Held: s.held}, nil
 	case toStat:
-		err := s.readStat(text)
-		if opt.Table == "" && err == nil {
+		r, err := reports.ReadCounters(text, s.link.front.backends, len(opt.Classes), opt.Names.Server)
+		if s.reading = r; opt.Table == "" && err == nil {
 			return s.polled(), nil
 		}
 		return nil, wrap("show stat", err)
 	case toTable:
-		err := runtimeapi.ReadTable(text, func(t *runtimeapi.Tracked) error {
-			server, known := opt.Names.Server(string(t.Key))
-			if m, met := s.reading.Servers[server]; known && met {
-				m.Good, m.GoodMs, m.HasLoad = t.Good, t.GoodMs, t.HasLoad
-				for i, v := range t.Load {
-					m.Load[i] = float32(v) / 1000
-				}
-				s.reading.Servers[server] = m
-			}
-			return nil
-		})
-		if err != nil {
+		if err := s.reading.ReadTracked(text, opt.Names.Server); err != nil {
 			return nil, wrap("show table", err)
 		}
 		return s.polled(), nil
@@ -326,31 +315,6 @@
 	return shareAll
 }
 
-func (s *session) readStat(text []byte) error {
-	opt := &s.link.front.opt
-	r := &reports.Reading{Servers: make(map[fleet.ServerID]reports.Met, 64), Classes: make([]reports.Came, len(opt.Classes))}
-	s.reading = r
-	return runtimeapi.ReadStat(text, func(row *runtimeapi.Stat) error {
-		class, ours := s.link.front.backends[string(row.Proxy)]
-		if !ours || string(row.Server) == "FRONTEND" {
-			return nil
-		}
-		failed := row.Errors + row.ConnFailed + row.RespFailed
-		if string(row.Server) == "BACKEND" {
-			r.Classes[class] = reports.Came{Visits: row.Sessions, NoAnswer: failed}
-			return nil
-		}
-		server, known := opt.Names.Server(string(row.Server))
-		if !known {
-			return nil
-		}
-		m := r.Servers[server]
-		m.Tries, m.Failed = m.Tries+row.Good+failed, m.Failed+failed
-		r.Servers[server] = m
-		return nil
-	})
-}
-
 func (s *session) polled() front.Event {
 	r := s.reading
 	s.reading, s.polling = nil, false
--- a/governor/core.go
+++ b/governor/core.go
@@ -190,7 +190,6 @@
 		}
 	case front.Polled:
 		if !stale(in.Proxy, in.Stream) {
-			c.plane.Progress(now, in.Proxy)
 			c.gather.Hear(in.Proxy, in.Reading)
 		}
 	case list.Update:
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -152,7 +152,7 @@
 		}
 		x := standin.NewProxy(standin.ProxySetup{Name: fmt.Sprintf("proxy-%02d", i+1), Zone: zone, Classes: classes,
 			Map: "cressknot", Table: "nodes", ShunAfter: 3, ShunFor: 4 * time.Second, LineDelay: time.Duration(d.LineDelay),
-			Runtime: filepath.Join(p.dir, fmt.Sprintf("p%d.sock", i+1))}, standing, p.watch, d.Seed*2000+uint64(i))
+			Runtime: filepath.Join(p.dir, fmt.Sprintf("p%d.sock", i+1)), Folder: p.folder(i)}, standing, p.watch, d.Seed*2000+uint64(i))
 		if err := x.Up(); err != nil {
 			return err
 		}
@@ -177,6 +177,14 @@
 	return nil
 }
 
+// folder gives a proxy's folder on the files front.
+func (p *play) folder(i int) string {
+	if p.Day.Front != "files" {
+		return ""
+	}
+	return filepath.Join(p.dir, fmt.Sprintf("p%d", i+1))
+}
+
 func nodeName(i int) string { return fmt.Sprintf("node-%02d", i+1) }
 
 // force makes proxies follow a broken governor's commands.
@@ -235,7 +243,11 @@
 	}
 	for i, x := range p.proxies {
 		if p.ownerOf[i] == g {
-			proxies = append(proxies, map[string]any{"name": x.Name, "zone": x.Zone, "addr": x.Runtime,
+			addr := x.Runtime
+			if x.Folder != "" {
+				addr = x.Folder
+			}
+			proxies = append(proxies, map[string]any{"name": x.Name, "zone": x.Zone, "addr": addr,
 				"visits": d.Visits / float64(d.Proxies)})
 		}
 	}
--- a/internal/drill/troubles.go
+++ b/internal/drill/troubles.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"slices"
 	"syscall"
 	"time"
 
@@ -337,6 +338,15 @@
 }
 
 func (p *play) governorKill(ctx context.Context, t Trouble) {
+	owned := func(do func(string)) { // on files nothing shows a proxy that its governor is gone: then it isn't joined
+		for i, x := range p.proxies {
+			if x.Folder != "" && slices.Contains(p.someGovernors(t.Part), p.governors[p.ownerOf[i]]) {
+				do(x.Name)
+			}
+		}
+	}
+	defer owned(p.watch.Joined)
+	owned(p.watch.Parted)
 	for _, g := range p.someGovernors(t.Part) {
 		g.usage()
 		if err := g.end(syscall.SIGKILL); err != nil {
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -96,7 +96,10 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.Addr, n.fallen, n.recent, n.held = l.Addr().String(), false, nil, 0
+	if first { // it never changes after
+		n.Addr = l.Addr().String()
+	}
+	n.fallen, n.recent, n.held = false, nil, 0
 	n.gone, n.slots = make(chan struct{}), make(chan struct{}, n.load.Cores)
 	if !first {
 		n.started = time.Now()
--- a/internal/standin/proxy.go
+++ b/internal/standin/proxy.go
@@ -40,6 +40,7 @@
 	LineDelay  time.Duration // stands still so long for each line that it reads
 	Runtime    string        // path of its runtime socket
 	NoneStands bool          // answers no runtime commands at all
+	Folder     string        // goes by files in this folder, and has no runtime socket
 }
 
 const logMost = 4096 // commands kept for tests
@@ -87,6 +88,7 @@
 	visits   *http.Server
 	conns    map[net.Conn]bool
 	slowRead time.Duration
+	files    filesState
 	late     time.Duration
 	past     []past // what was shown while reports are late
 	cut      int    // bytes of requests after which sessions are cut; negative: never
@@ -102,10 +104,13 @@
 
 // Up starts the proxy with its standing tables.
 func (p *Proxy) Up() error {
-	os.Remove(p.Runtime)
-	l, err := net.Listen("unix", p.Runtime)
-	if err != nil {
-		return fmt.Errorf("proxy %s: %w", p.Name, err)
+	var l net.Listener
+	var err error
+	if p.Folder == "" {
+		os.Remove(p.Runtime)
+		if l, err = net.Listen("unix", p.Runtime); err != nil {
+			return fmt.Errorf("proxy %s: %w", p.Name, err)
+		}
 	}
 	visit := p.Visit
 	if visit == "" {
@@ -113,11 +118,16 @@
 	}
 	v, err := listenAgain(visit)
 	if err != nil {
-		l.Close()
+		if l != nil {
+			l.Close()
+		}
 		return fmt.Errorf("proxy %s: %w", p.Name, err)
 	}
 	p.mu.Lock()
-	p.Visit, p.lister, p.started = v.Addr().String(), l, time.Now()
+	if p.Visit == "" { // it never changes after
+		p.Visit = v.Addr().String()
+	}
+	p.lister, p.started = l, time.Now()
 	p.backends, p.totals, p.levels, p.order = map[string][]*line{}, map[string]*runtimeapi.Stat{}, map[string]string{}, nil
 	p.tracked, p.tracks, p.conns = map[string]*runtimeapi.Tracked{}, nil, map[net.Conn]bool{}
 	for _, c := range p.Classes {
@@ -130,6 +140,9 @@
 	p.look()
 	go func(s *http.Server) { _ = s.Serve(v) }(p.visits)
 	p.mu.Unlock()
+	if p.Folder != "" {
+		return p.follow()
+	}
 	go p.accept(l)
 	return nil
 }
@@ -148,10 +161,14 @@
 	l, v, conns := p.lister, p.visits, p.conns
 	p.lister, p.visits, p.conns = nil, nil, nil
 	p.mu.Unlock()
-	if l == nil {
+	if v == nil {
 		return
 	}
-	l.Close()
+	if l != nil {
+		l.Close()
+	} else {
+		p.unfollow()
+	}
 	v.Close()
 	for c := range conns {
 		c.Close()
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -17,6 +17,7 @@
 	"cressknot/config"
 	"cressknot/fleet"
 	"cressknot/front"
+	"cressknot/front/files"
 	"cressknot/front/haproxy"
 	"cressknot/governor"
 	"cressknot/list"
@@ -52,10 +53,7 @@
 	proxies := s.Fleet()
 	site := s.Site()
 	core := governor.NewCore(site, s.Seed, proxies, names)
-	carrier, err := frontOf(s, site, proxies, names)
-	if err != nil {
-		return err
-	}
+	carrier := frontOf(s, site, proxies, names)
 	parts := governor.Parts{Core: core, Names: names, Front: carrier, Source: sourceOf(s), Log: log,
 		Cache: s.List.Cache, ProbePath: s.Reports.ProbePath}
 	if s.List.Cache != "" {
@@ -158,11 +156,10 @@
 	return &list.File{Path: s.List.Path, OnRequest: s.List.OnRequest}
 }
 
-func frontOf(s *config.Settings, site fleet.Site, proxies []front.Proxy, names *governor.Names) (front.Front, error) {
-	switch s.Front.Kind {
-	case "runtime":
+func frontOf(s *config.Settings, site fleet.Site, proxies []front.Proxy, names *governor.Names) front.Front {
+	if s.Front.Kind == "runtime" {
 		return haproxy.New(haproxy.Options{Proxies: proxies, Classes: s.Backends(), Map: s.Front.Map,
-			Table: s.Front.Table, Admission: site.Admission, Names: names}), nil
+			Table: s.Front.Table, Admission: site.Admission, Names: names})
 	}
-	return nil, fmt.Errorf("front %q is not there yet", s.Front.Kind)
+	return files.New(files.Options{Proxies: proxies, Classes: s.Backends(), Admission: site.Admission, Names: names})
 }
--- a/steer/redial.go
+++ b/steer/redial.go
@@ -6,6 +6,7 @@
 const (
 	DialWithin   = 2 * fleet.Second        // for a connection on the same network; longer is as good as down
 	AnswerWithin = 20 * fleet.Second       // for a poll or a reading back: a proxy's reload and its longest stall
+	SilentAfter  = 5 * fleet.Second        // files: a proxy writes its counters each second; five missed are no chance
 	redialFirst  = 100 * fleet.Millisecond // a proxy that restarted listens again within so long
 	redialLast   = 2 * fleet.Second        // a proxy back after long waits no longer than this for its governor
 	redialJitter = 0.5                     // part of the wait that is chance, so that proxies don't come all at once
