--- a/front/files/disk.go
+++ b/front/files/disk.go
@@ -9,29 +9,25 @@
 	"strings"
 )
 
-// step names a step of a swap, for tests that cut it there.
-type step int
-
 // The steps of a swap, in their order.
 const (
-	stepCreate step = iota
+	stepCreate = iota
 	stepWrite
 	stepSync
 	stepRename
 	stepSyncFolder
-	steps
 )
 
 // swapper puts files in place. Fault, if any, is asked before each step; an error ends the swap there, as a cut or a
 // full disk would.
 type swapper struct {
-	fault func(path string, s step) error
+	fault func(path string, step int) error
 }
 
 // swap writes a file aside, syncs it, renames it over the one in place and syncs the folder. Whatever step fails,
 // what is in place is whole: the old or the new.
 func (w swapper) swap(path string, text []byte) (err error) {
-	at := func(s step) error {
+	at := func(s int) error {
 		if w.fault != nil {
 			return w.fault(path, s)
 		}
@@ -48,7 +44,7 @@
 	defer func() {
 		if err != nil {
 			f.Close()
-			if !errors.Is(err, errCut) { // after a cut nobody cleans up; the next start does
+			if !errors.Is(err, ErrCut) { // after a cut nobody cleans up; the next start does
 				os.Remove(f.Name())
 			}
 		}
@@ -89,7 +85,8 @@
 	return nil
 }
 
-var errCut = errors.New("cut")
+// ErrCut stands for a kill in the middle of a swap: nothing is cleaned up after it.
+var ErrCut = errors.New("cut")
 
 // Swap is how every file of a folder is put in place, by governors and proxies alike.
 func Swap(path string, text []byte) error { return swapper{}.swap(path, text) }
--- a/front/files/front.go
+++ b/front/files/front.go
@@ -32,6 +32,9 @@
 	Classes   []front.Class
 	Admission fleet.Admission
 	Names     front.Names
+	// Fault, in tests, is asked before each step of a swap (0 to 4: create, write, sync, rename, sync the folder) and
+	// fails it: as a full disk does, or, with ErrCut, as a kill does.
+	Fault func(path string, step int) error
 }
 
 // Front is the front of files.
@@ -85,7 +88,7 @@
 // New makes a front. It writes nothing before Start.
 func New(opt Options) *Front {
 	f := &Front{opt: opt, backends: map[string]fleet.ClassID{}, folders: map[string]*folder{}, byID: map[fleet.ProxyID]*folder{},
-		epoch: strconv.FormatInt(time.Now().UnixNano(), 36), seed: maphash.MakeSeed()}
+		disk: swapper{opt.Fault}, epoch: strconv.FormatInt(time.Now().UnixNano(), 36), seed: maphash.MakeSeed()}
 	for i, c := range opt.Classes {
 		f.backends[c.Backend] = fleet.ClassID(i)
 	}
--- a/internal/drill/troubles.go
+++ b/internal/drill/troubles.go
@@ -4,10 +4,13 @@
 	"context"
 	"fmt"
 	"math"
+	"os"
+	"path/filepath"
 	"slices"
 	"syscall"
 	"time"
 
+	"cressknot/front/files"
 	"cressknot/internal/standin"
 )
 
@@ -380,7 +383,8 @@
 	}
 }
 
-// cut breaks the runtime sessions of proxies again and again, each after some bytes of an order.
+// cut breaks the runtime sessions of proxies again and again, each after some bytes of an order; on files somebody
+// removes or truncates what was put in place.
 func (p *play) cut(ctx context.Context, t Trouble) {
 	at := p.someProxies(t.Part)
 	for end := time.Now().Add(time.Duration(t.For)); time.Now().Before(end) && ctx.Err() == nil; {
@@ -388,7 +392,13 @@
 			p.mu.Lock()
 			after := 60 + p.rng.IntN(2000)
 			p.mu.Unlock()
-			p.proxies[i].CutSessions(after)
+			if folder := p.proxies[i].Folder; folder == "" {
+				p.proxies[i].CutSessions(after)
+			} else if path := filepath.Join(folder, files.TablesFile); after%2 == 0 {
+				os.Remove(path)
+			} else {
+				_ = os.Truncate(path, int64(after))
+			}
 		}
 		sleep(ctx, 700*time.Millisecond)
 	}
