Follow servers that are listed at another address

A server that comes back on another port kept its old address at proxies that held its line. The plane marks such lines and the runtime front sets 'set server addr'; what a proxy holds is compared when it is read back.

--- a/front/haproxy/encode.go
+++ b/front/haproxy/encode.go
@@ -1,6 +1,7 @@
 package haproxy
 
 import (
+	"net"
 	"strconv"
 
 	"cressknot/fleet"
@@ -103,6 +104,15 @@
 		e.out = append(e.out, "del server "...)
 		e.target(c.Class, name)
 	default:
+		if host, port, err := net.SplitHostPort(addr); c.Moved && err == nil {
+			e.next("")
+			e.out = append(e.out, "set server "...)
+			e.target(c.Class, name)
+			e.out = append(e.out, " addr "...)
+			e.out = runtimeapi.AppendWord(e.out, host)
+			e.out = append(e.out, " port "...)
+			e.out = runtimeapi.AppendWord(e.out, port)
+		}
 		// What shuts out goes before the weight, what lets in after it.
 		if c.State != steer.Stays && c.State != steer.In {
 			e.state(c.Class, name, c.State)
--- a/front/haproxy/session.go
+++ b/front/haproxy/session.go
@@ -206,8 +206,10 @@
 			if !ours {
 				return nil
 			}
-			server := opt.Names.Learn(string(r.Server), net.JoinHostPort(string(r.Addr), strconv.FormatUint(r.Port, 10)))
-			cell := steer.Cell{Present: true, Weight: int16(min(r.Weight, runtimeapi.WeightMost)), State: steer.In}
+			held := net.JoinHostPort(string(r.Addr), strconv.FormatUint(r.Port, 10))
+			server := opt.Names.Learn(string(r.Server), held)
+			_, addr := opt.Names.Of(server)
+			cell := steer.Cell{Present: true, Astray: addr != held, Weight: int16(min(r.Weight, runtimeapi.WeightMost)), State: steer.In}
 			if r.Admin&runtimeapi.AdminMaint != 0 {
 				cell.State = steer.Out
 			} else if r.Admin&runtimeapi.AdminDrain != 0 {
@@ -264,6 +266,9 @@
 
 // fault tells whether a change was done, and else what kept it.
 func fault(text []byte) (steer.Fault, bool) {
+	if bytes.HasPrefix(text, []byte(runtimeapi.AddrChanged)) || bytes.HasPrefix(text, []byte(runtimeapi.AddrStays)) {
+		return 0, true
+	}
 	switch string(text) {
 	case runtimeapi.Done, runtimeapi.Registered, runtimeapi.Deleted:
 		return 0, true
--- a/governor/core.go
+++ b/governor/core.go
@@ -240,7 +240,11 @@
 			c.log(out, Line{now, "error", "list", fmt.Sprintf("server %s: zone %q is none of this site's; left out", s.Name, s.Zone)})
 			continue
 		}
-		e := fleet.Entry{Server: c.names.Listed(s.Name, s.Addr), Zone: zone, Kind: c.kinds[s.Kind],
+		id, moved := c.names.Listed(s.Name, s.Addr)
+		if moved {
+			c.plane.Moved(id)
+		}
+		e := fleet.Entry{Server: id, Zone: zone, Kind: c.kinds[s.Kind],
 			Cell: fleet.CellID(s.Cell), Weight: cmp.Or(s.Weight, 1), State: stateNames[s.State]}
 		if !s.Started.IsZero() {
 			e.Started = fleet.Time(s.Started.UnixNano())
--- a/governor/files_test.go
+++ b/governor/files_test.go
@@ -46,7 +46,8 @@
 	y.streams, y.why, y.joins = map[fleet.ProxyID]uint64{}, map[fleet.ProxyID]string{}, map[fleet.ProxyID]int{}
 	l := fleet.List{Scope: fleet.ListFull}
 	for _, e := range standing(servers) {
-		l.Entries = append(l.Entries, fleet.Entry{Server: y.names.Listed(e.Name, e.Addr)})
+		id, _ := y.names.Listed(e.Name, e.Addr)
+		l.Entries = append(l.Entries, fleet.Entry{Server: id})
 	}
 	y.plane.List(1, l)
 	y.begin(files.New(files.Options{Proxies: y.to, Classes: []front.Class{{Name: backend, Backend: backend}},
--- a/governor/governor_test.go
+++ b/governor/governor_test.go
@@ -74,7 +74,8 @@
 	dir := t.TempDir()
 	l := fleet.List{Scope: fleet.ListFull}
 	for _, e := range standing(servers) {
-		l.Entries = append(l.Entries, fleet.Entry{Server: y.names.Listed(e.Name, e.Addr)})
+		id, _ := y.names.Listed(e.Name, e.Addr)
+		l.Entries = append(l.Entries, fleet.Entry{Server: id})
 	}
 	y.plane.List(1, l)
 	var to []front.Proxy
@@ -299,6 +300,31 @@
 	}
 }
 
+// TestServerMoves: a server that is listed at another address is sent to there, also by a proxy that was away.
+func TestServerMoves(t *testing.T) {
+	for _, on := range []string{"sockets", "files"} {
+		var y *yard
+		if on == "files" {
+			y = newFolders(t, 2, 4)
+			y.govern(4, nil)
+		} else {
+			y = newYard(t, 2, 4, nil)
+			y.until("joined", y.allJoined)
+		}
+		y.lay(4)
+		y.until("laid", func() bool { return y.wants(y.proxies[0], 4) && y.wants(y.proxies[1], 4) })
+		y.front.Drop(1)
+		id, moved := y.names.Listed("n2", "127.0.0.1:9999")
+		if !moved {
+			t.Fatal("not told as moved")
+		}
+		y.plane.Moved(id)
+		y.until("followed", func() bool {
+			return y.proxies[0].Addr(backend, "n2") == "127.0.0.1:9999" && (on == "files" || y.proxies[1].Addr(backend, "n2") == "127.0.0.1:9999")
+		})
+	}
+}
+
 // TestOddFarEnds: one answers garbage, one never, one calls itself by another's name, one has no map; all are told by
 // name and reason, and a sound one beside them is served.
 func TestOddFarEnds(t *testing.T) {
--- a/governor/names.go
+++ b/governor/names.go
@@ -33,12 +33,17 @@
 }
 
 // Learn gives the id of a name, a new one for a new name; an address that is told replaces none that the list told.
-func (n *Names) Learn(name, addr string) fleet.ServerID { return n.put(name, addr, false) }
+func (n *Names) Learn(name, addr string) fleet.ServerID {
+	id, _ := n.put(name, addr, false)
+	return id
+}
 
-// Listed is Learn for what the list says: its address counts.
-func (n *Names) Listed(name, addr string) fleet.ServerID { return n.put(name, addr, true) }
+// Listed is Learn for what the list says: its address counts. Moved tells that it was another one before.
+func (n *Names) Listed(name, addr string) (id fleet.ServerID, moved bool) {
+	return n.put(name, addr, true)
+}
 
-func (n *Names) put(name, addr string, replace bool) fleet.ServerID {
+func (n *Names) put(name, addr string, replace bool) (id fleet.ServerID, moved bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	id, ok := n.byName[name]
@@ -47,9 +52,10 @@
 		n.byName[name] = id
 		n.servers = append(n.servers, named{name, addr})
 	} else if at := &n.servers[id]; replace && addr != "" || at.addr == "" {
+		moved = at.addr != "" && at.addr != addr
 		at.addr = addr
 	}
-	return id
+	return id, moved
 }
 
 // Of gives name and address of an id.
--- a/internal/standin/proxy.go
+++ b/internal/standin/proxy.go
@@ -216,6 +216,16 @@
 	return fmt.Sprintf("%d %s", l.weight, map[uint64]string{0: "ready", runtimeapi.AdminDrain: "drain", runtimeapi.AdminMaint: "maint"}[l.admin])
 }
 
+// Addr gives where a line sends to.
+func (p *Proxy) Addr(backend, server string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l, _ := p.find(backend + "/" + server); l != nil {
+		return l.addr
+	}
+	return ""
+}
+
 // Level gives an entry of the map.
 func (p *Proxy) Level(key string) string {
 	p.mu.Lock()
@@ -487,8 +497,12 @@
 		if len(words) == 5 && words[3] == "port" {
 			port = words[4]
 		}
-		l.addr = net.JoinHostPort(words[2], port)
-		return fmt.Appendf(nil, "IP changed to '%s' by 'stats socket command'\n", words[2])
+		to := net.JoinHostPort(words[2], port)
+		if to == l.addr {
+			return []byte(runtimeapi.AddrStays + " the addr, port\n")
+		}
+		l.addr = to
+		return []byte(runtimeapi.AddrChanged + " by 'stats socket command'\n")
 	case is("add", "server") && len(words) >= 2:
 		l, err := p.find(words[0])
 		if l != nil {
--- a/runtimeapi/tables.go
+++ b/runtimeapi/tables.go
@@ -22,6 +22,8 @@
 	NoTable       = "No such table.\n"
 	BadWeight     = "Absolute weight can only be between 0 and 256 inclusive.\n"
 	BadState      = "'set server <srv> state' expects 'ready', 'drain' and 'maint'.\n"
+	AddrChanged   = "IP changed"        // what follows tells from which to which
+	AddrStays     = "no need to change" // the address stood already
 	UnknownPrefix = "Unknown command: "
 )
 
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -45,6 +45,7 @@
 type Cell struct {
 	Present bool
 	Unknown bool // an error left open what it holds
+	Astray  bool // it sends to another address than the server is listed at
 	Weight  int16
 	State   State
 }
@@ -74,6 +75,7 @@
 	Server fleet.ServerID
 	Weight int16 // negative: as it is
 	State  State
+	Moved  bool // the server's address has to be set, too
 	Level  Level
 }
 
@@ -286,6 +288,20 @@
 	}
 }
 
+// Moved tells that a server is listed at another address than before: every line of it has to follow.
+func (p *Plane) Moved(id fleet.ServerID) {
+	i := p.server(id)
+	for _, x := range p.order {
+		for c := range p.classes() {
+			if cell := &x.sent[int(i)*p.classes()+c]; cell.Present {
+				cell.Astray = true
+				p.touch(x, key{server: i}, true)
+				x.allowed++
+			}
+		}
+	}
+}
+
 func (p *Plane) cold(s *server, now fleet.Time) bool {
 	return s.started > 0 && now < s.started+p.site.ColdFor
 }
@@ -315,6 +331,8 @@
 	for i := range p.servers {
 		if p.servers[i].ordered {
 			p.touch(x, key{server: int32(i)}, p.servers[i].withdrawn)
+		} else if p.differs(x, int32(i)) { // astray
+			p.touch(x, key{server: int32(i)}, true)
 		}
 	}
 	for c := range n {
@@ -509,7 +527,7 @@
 func (p *Plane) wantCell(x *proxy, i int32, c int) Cell {
 	s, at := &p.servers[i], int(i)*p.classes()+c
 	own := x.own[at]
-	if !x.bound[c] {
+	if own.Astray = false; !x.bound[c] {
 		if s.ordered && own.Present {
 			own.State = p.stateOf(s)
 		}
@@ -601,6 +619,7 @@
 				ch.State = Stays
 			}
 		}
+		ch.Moved = have.Astray && have.Present
 		*have = want
 		to = append(to, ch)
 	}
