--- /dev/null
+++ b/governor/bench_test.go
@@ -0,0 +1,101 @@
+package governor
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"cressknot/fleet"
+	"cressknot/front"
+	"cressknot/list"
+	"cressknot/reports"
+	"cressknot/steer"
+)
+
+// BenchmarkLoop runs the whole loop, without sockets, at a fleet's size: each op is a second of its life with polls of
+// all proxies, 1,000 reports a second told, and all messages answered. It prints the time of decisions.
+func BenchmarkLoop(b *testing.B) {
+	for _, size := range [][2]int{{175, 232}, {350, 465}, {700, 930}, {1400, 1860}} {
+		b.Run(fmt.Sprintf("servers=%d/proxies=%d", size[0], size[1]), func(b *testing.B) {
+			servers, proxies := size[0], size[1]
+			site := fleet.Site{Zones: []string{"a", "b", "c", "d"}, Governors: 1, Proxies: proxies, LinesPerS: 15000, MessageHead: 6,
+				BacklogMost: 30000, Travel: 50 * fleet.Millisecond, TravelMost: 500 * fleet.Millisecond, ReportEvery: fleet.Second,
+				ReportsPerS: 1000, BareMost: 5 * fleet.Second, ColdFrom: 0.2, ColdFor: 15 * fleet.Second, FallFactor: 3,
+				FallFor: 2 * fleet.Second, DrainGrace: 3 * fleet.Second, Report: fleet.ReportInline, OutlierAfter: 3,
+				LoadFields: []fleet.LoadField{fleet.FieldBusy}, Classes: []fleet.VisitClass{
+					{Value: 3, Expected: fleet.Second, HardStop: 4 * fleet.Second},
+					{Value: 2, Expected: fleet.Second, HardStop: 4 * fleet.Second, Effect: fleet.Keyed, Window: 5 * fleet.Second},
+					{Value: 2, Expected: 2 * fleet.Second, HardStop: 6 * fleet.Second, Effect: fleet.Unsafe}}}
+			names := NewNames()
+			var all []front.Proxy
+			for i := range proxies {
+				all = append(all, front.Proxy{ID: fleet.ProxyID(i), Name: fmt.Sprint("p", i), Zone: fleet.ZoneID(i % 4), Visits: 3})
+			}
+			core := NewCore(site, 1, all, names)
+			now := 1000 * fleet.Second
+			doc := list.Document{Rev: 1}
+			for i := range servers {
+				doc.Servers = append(doc.Servers, list.Server{Name: fmt.Sprint("s", i), Addr: "x:1", Zone: site.Zones[i%4]})
+			}
+			in := []Input{list.Update{Scope: fleet.ListFull, Doc: doc}}
+			counters := make([]map[fleet.ServerID]reports.Met, proxies)
+			came := make([][]reports.Came, proxies)
+			for i := range proxies {
+				in = append(in, front.Up{Proxy: fleet.ProxyID(i), Stream: 1, Held: steer.Snapshot{Zone: fleet.ZoneID(i % 4), Weight: 3, Fresh: true}})
+				counters[i], came[i] = map[fleet.ServerID]reports.Met{}, make([]reports.Came, 3)
+			}
+			rng := rand.New(rand.NewPCG(1, 1))
+			took, decided := hdrhistogram.New(1000, int64(time.Minute), 3), hdrhistogram.New(1000, int64(time.Minute), 3)
+			turn := func() {
+				began := time.Now()
+				out := core.Turn(now, in)
+				spent := time.Since(began).Nanoseconds()
+				_ = took.RecordValue(max(1000, spent))
+				if out.Stepped {
+					_ = decided.RecordValue(max(1000, spent))
+				}
+				in = in[:0]
+				for _, m := range out.Messages {
+					in = append(in, front.Answer{Proxy: m.Proxy, Stream: 1, Seq: m.Seq})
+				}
+				for _, id := range out.Polls {
+					for range 9 { // visits of a second
+						s := fleet.ServerID(rng.IntN(servers))
+						m := counters[id][s]
+						m.Tries, m.Good, m.GoodMs, m.HasLoad = m.Tries+1, m.Good+1, m.GoodMs+200, true
+						m.Load[0] = 0.4 + 0.3*rng.Float32()
+						counters[id][s] = m
+						came[id][rng.IntN(3)].Visits++
+					}
+					r := &reports.Reading{At: now, Servers: make(map[fleet.ServerID]reports.Met, len(counters[id])), Classes: append([]reports.Came(nil), came[id]...)}
+					for s, m := range counters[id] {
+						r.Servers[s] = m
+					}
+					in = append(in, front.Polled{Proxy: id, Stream: 1, Reading: r})
+				}
+				now = max(now+fleet.Millisecond, min(out.Wake, now+10*fleet.Millisecond))
+			}
+			second := func() {
+				for end := now + fleet.Second; now < end; {
+					turn()
+				}
+			}
+			for range 30 { // until its tables are laid
+				second()
+			}
+			took.Reset()
+			decided.Reset()
+			b.ReportAllocs()
+			for b.Loop() {
+				second()
+			}
+			b.ReportMetric(float64(took.ValueAtQuantile(50))/1e6, "ms-turn-p50")
+			b.ReportMetric(float64(took.ValueAtQuantile(99))/1e6, "ms-turn-p99")
+			b.ReportMetric(float64(took.Max())/1e6, "ms-turn-most")
+			b.ReportMetric(float64(decided.ValueAtQuantile(99))/1e6, "ms-step-p99")
+		})
+	}
+}
--- a/governor/operators.go
+++ b/governor/operators.go
@@ -203,7 +203,7 @@
 
 func (o *Operators) showProxies(c *Core, _ []string) string {
 	var b strings.Builder
-	b.WriteString("# name zone addr stream tables lines_held lines_waiting messages_unanswered messages_written\n")
+	b.WriteString("# name zone addr stream tables lines_held lines_waiting messages_unanswered messages_written answered_ms\n")
 	up := map[fleet.ProxyID]bool{}
 	for _, v := range c.plane.Proxies() {
 		up[v.ID] = true
@@ -214,13 +214,14 @@
 			}
 		}
 		p := c.proxies[v.ID]
-		fmt.Fprintf(&b, "%s %s %s up %s %d %d %d %d\n", p.Name, c.site.Zones[v.Zone], p.Addr,
-			cmp.Or(strings.Join(on, ","), "own"), v.Lines, v.Waiting, v.Flying, v.Written)
+		fmt.Fprintf(&b, "%s %s %s up %s %d %d %d %d %.1f\n", p.Name, c.site.Zones[v.Zone], p.Addr,
+			cmp.Or(strings.Join(on, ","), "own"), v.Lines, v.Waiting, v.Flying, v.Written,
+			float64(v.Took)/float64(fleet.Millisecond))
 	}
 	var down []string
 	for id, p := range c.proxies {
 		if !up[id] {
-			down = append(down, fmt.Sprintf("%s %s %s down - - - - -\n", p.Name, c.site.Zones[p.Zone], p.Addr))
+			down = append(down, fmt.Sprintf("%s %s %s down - - - - - -\n", p.Name, c.site.Zones[p.Zone], p.Addr))
 		}
 	}
 	slices.Sort(down)
--- a/internal/drill/troubles.go
+++ b/internal/drill/troubles.go
@@ -174,18 +174,22 @@
 
 func (p *play) measureFall(ctx context.Context, node string, fell time.Time) {
 	defer p.background.Done()
-	left := map[int]bool{}
-	for i := range p.proxies {
-		left[i] = true
+	left, had := map[int]bool{}, map[int]bool{}
+	for i, x := range p.proxies {
+		left[i], had[i] = true, x.Weights(p.Day.Classes[0].Name)[node] > 0
 	}
 	for len(left) > 0 && time.Since(fell) < 8*time.Second && ctx.Err() == nil {
 		for i := range left {
-			if share := p.proxies[i].Weights(p.Day.Classes[0].Name)[node]; share == 0 {
+			if !had[i] { // it had no visits for it when it fell
+				delete(left, i)
+			} else if share := p.proxies[i].Weights(p.Day.Classes[0].Name)[node]; share == 0 {
 				delete(left, i)
-				took := time.Since(fell).Seconds()
+				told, heard := p.watch.ToldSince(p.proxies[i].Name, node, fell)
 				p.mu.Lock()
-				p.report.Falls.FromFall = append(p.report.Falls.FromFall, took)
-				p.report.Falls.FromTold = append(p.report.Falls.FromTold, max(0, took-notice.Seconds()))
+				p.report.Falls.FromFall = append(p.report.Falls.FromFall, time.Since(fell).Seconds())
+				if heard { // else the governor shut it out by what it saw itself
+					p.report.Falls.FromTold = append(p.report.Falls.FromTold, time.Since(told).Seconds())
+				}
 				p.mu.Unlock()
 			}
 		}
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -209,6 +209,18 @@
 	w.tellings = append(w.tellings, t)
 }
 
+// ToldSince gives when a proxy's governor was first told, since a moment, that a node is not ready.
+func (w *Watch) ToldSince(proxy, node string, since time.Time) (at time.Time, told bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, t := range w.tellings {
+		if t.governor == w.owner[proxy] && t.node == node && t.state != "ready" && t.at >= since.Sub(w.start) {
+			return w.start.Add(t.at), true
+		}
+	}
+	return time.Time{}, false
+}
+
 // Fell tells that a cold node was pushed over, and whose work did it.
 func (w *Watch) Fell(node string, started time.Time, by map[string]float64) {
 	w.mu.Lock()
--- a/steer/channel.go
+++ b/steer/channel.go
@@ -187,7 +187,7 @@
 	}
 	b := x.flying[at]
 	x.flying = slices.Delete(x.flying, at, at+1)
-	x.heard = now
+	x.heard, x.took = now, now-b.left
 	for _, f := range failures {
 		if f.Index >= 0 && f.Index < len(b.changes) {
 			p.fail(now, x, b.changes[f.Index], b.keys[f.Index], f)
@@ -351,7 +351,8 @@
 	Waiting  int  // lines that are not written yet
 	Flying   int  // messages without answers
 	Written  int
-	Lines    int // lines held with weight and in use
+	Took     fleet.Time // of the last message, from its leave to its answers
+	Lines    int        // lines held with weight and in use
 	Messages uint64
 }
 
@@ -360,7 +361,7 @@
 	var views []ProxyView
 	for _, x := range p.order {
 		v := ProxyView{ID: x.id, Zone: x.zone, On: slices.Clone(x.on), Bound: slices.Clone(x.bound), Fresh: x.fresh,
-			Waiting: len(x.pending), Flying: len(x.flying), Written: x.writes}
+			Waiting: len(x.pending), Flying: len(x.flying), Written: x.writes, Took: x.took}
 		for _, c := range x.sent {
 			if c.Present && c.Weight > 0 && c.State == In {
 				v.Lines++
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -195,6 +195,7 @@
 	failed   []key
 	queued   int // its messages in the queue
 	writes   int // messages written in all
+	took     fleet.Time
 }
 
 type parcel struct {
