--- a/front/haproxy/front.go
+++ b/front/haproxy/front.go
@@ -64,7 +64,7 @@
 
 // New makes a front. It dials nobody before Start.
 func New(opt Options) *Front {
-	logging.DefaultLogger = quiet{}
+	logging.SetLevel(logging.LevelNone) // the library's own log; what matters comes as errors
 	f := &Front{opt: opt, answerWithin: time.Duration(steer.AnswerWithin), backends: map[string]fleet.ClassID{}, links: map[fleet.ProxyID]*link{}}
 	for i, c := range opt.Classes {
 		f.backends[c.Backend] = fleet.ClassID(i)
@@ -76,14 +76,6 @@
 	return f
 }
 
-type quiet struct{} // the library's own log; what matters comes as errors
-
-func (quiet) SetLevel(int)         {}
-func (quiet) Debug(string, ...any) {}
-func (quiet) Info(string, ...any)  {}
-func (quiet) Warn(string, ...any)  {}
-func (quiet) Error(string, ...any) {}
-
 // Start dials all proxies and keeps dialing until Stop.
 func (f *Front) Start(ctx context.Context, sink front.Sink) error {
 	f.sink = sink
--- a/governor/operators.go
+++ b/governor/operators.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
 
 	"cressknot/fleet"
 	"cressknot/runtimeapi"
@@ -35,6 +36,7 @@
 // ServeOperators listens on a Unix socket of mode 0600, or on host:port.
 func ServeOperators(loop *Loop, addr, version string) (*Operators, error) {
 	o := &Operators{loop: loop, version: version}
+	logging.SetLevel(logging.LevelNone) // the library's own log; what matters comes as errors
 	network := "tcp"
 	if strings.Contains(addr, "/") {
 		network, o.path = "unix", addr
--- /dev/null
+++ b/governor/operators_test.go
@@ -0,0 +1,199 @@
+package governor
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cressknot/fleet"
+	"cressknot/front"
+	"cressknot/list"
+	"cressknot/records"
+	"cressknot/reports"
+	"cressknot/steer"
+)
+
+// still is a front that reaches nobody.
+type still struct{ sent []steer.Message }
+
+func (s *still) Start(context.Context, front.Sink) error { return nil }
+func (s *still) Send(m steer.Message)                    { s.sent = append(s.sent, m) }
+func (s *still) Poll(fleet.ProxyID)                      {}
+func (s *still) Drop(fleet.ProxyID)                      {}
+func (s *still) Stop(context.Context) error              { return nil }
+
+type fixedList struct{ doc list.Document }
+
+func (f fixedList) Start(_ context.Context, sink func(list.Update)) error {
+	sink(list.Update{Scope: fleet.ListFull, Doc: f.doc})
+	return nil
+}
+func (fixedList) Watch(bool) {}
+func (fixedList) Fetch()     {}
+
+func testLoop(t *testing.T) *Loop {
+	names := NewNames()
+	site := fleet.Site{Zones: []string{"a"}, Classes: []fleet.VisitClass{{Name: "look", Value: 1, Expected: fleet.Second}},
+		LinesPerS: 1000, BacklogMost: 2000, ReportEvery: fleet.Second, ReportsPerS: 100, BareMost: 5 * fleet.Second}
+	doc := list.Document{Rev: 4, Servers: []list.Server{{Name: "n1", Addr: "127.0.0.1:1", Zone: "a"},
+		{Name: "n2", Addr: "127.0.0.1:2", Zone: "nowhere"}}}
+	return NewLoop(Parts{Core: NewCore(site, 1, []front.Proxy{{ID: 0, Name: "p0"}, {ID: 1, Name: "p1"}}, names), Names: names,
+		Front: &still{}, Source: fixedList{doc}, Log: zerolog.Nop()})
+}
+
+// TestOperatorsSocket: its mode, its answers, and that a killed governor's socket is taken over while a living one's
+// is not.
+func TestOperatorsSocket(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "g.sock")
+	dead, err := net.Listen("unix", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead.(*net.UnixListener).SetUnlinkOnClose(false)
+	dead.Close() // as kill -9 leaves it
+	loop := testLoop(t)
+	o, err := ServeOperators(loop, path, "1.2")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer o.Close()
+	if info, err := os.Stat(path); err != nil || info.Mode().Perm() != 0o600 {
+		t.Errorf("mode %v, %v", info.Mode(), err)
+	}
+	if _, err := ServeOperators(loop, path, "1.2"); err == nil {
+		t.Error("a second governor took a living one's socket")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- loop.Run(ctx, time.Second) }()
+	loop.post(front.Up{Proxy: 0, Stream: 1, Held: steer.Snapshot{Lines: []steer.SnapshotLine{
+		{Server: loop.names.Learn("n9", "127.0.0.1:9"), Cell: steer.Cell{Weight: 3, State: steer.In}}}}})
+	ask := func(text string) string {
+		t.Helper()
+		c, err := net.Dial("unix", path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+		if _, err := io.WriteString(c, text); err != nil {
+			t.Fatal(err)
+		}
+		answer, err := io.ReadAll(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(answer)
+	}
+	for end := time.Now().Add(10 * time.Second); !strings.Contains(ask("show proxies\n"), "p0 a  up"); {
+		if time.Now().After(end) {
+			t.Fatalf("not joined: %s", ask("show proxies\n"))
+		}
+	}
+	for text, wants := range map[string][]string{
+		"show info\n":                   {"Version: 1.2\n", "List_rev: 4\n", "Proxies_up: 1\n", "Servers: 1\n"},
+		"show servers\n":                {"n1 127.0.0.1:1 a ready - false"},
+		"show proxies\n":                {"p1 a  down"},
+		"show log\n":                    {"proxy p0 joined: 1 lines held", `server n2: zone "nowhere" is none`},
+		"show tables;explain n1\n":      {"# table server", "n1 (127.0.0.1:1) is listed as ready in a."},
+		"explain n9\n":                  {"is not listed"},
+		"explain n7\n":                  {"No such server."},
+		"explain\n":                     {"expects one server's name"},
+		"set server look/n1 weight 3\n": {"Unknown command: 'set server look/n1 weight 3'", "show orders"},
+		"prompt\nhelp\nquit\n":          {"> ", "explain"},
+		"show \x01\n":                   {"byte 5: the control character 0x01"},
+		"show orders;get weight n9\n":   {"In no table."},
+	} {
+		answer := ask(text)
+		for _, want := range wants {
+			if !strings.Contains(answer, want) {
+				t.Errorf("%q: no %q in %q", text, want, answer)
+			}
+		}
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+// TestFullMailboxFoldsReadings: once many inputs wait, a newer reading of a proxy takes the older one's place; nothing
+// else is dropped.
+func TestFullMailboxFoldsReadings(t *testing.T) {
+	loop := testLoop(t)
+	const many = 3 * mailMost
+	for i := range many {
+		loop.post(front.Polled{Proxy: fleet.ProxyID(i % 2), Stream: 1, Reading: &reports.Reading{Classes: []reports.Came{{Visits: uint64(i)}}}})
+		loop.post(front.Progress{Proxy: 0, Stream: 1})
+	}
+	loop.post(front.Polled{Proxy: 0, Stream: 2, Reading: &reports.Reading{}}) // of another stream: not the same counters
+	progress, last, streams := 0, uint64(0), 0
+	mail := loop.collect()
+	for _, in := range mail {
+		switch in := in.(type) {
+		case front.Progress:
+			progress++
+		case front.Polled:
+			if in.Stream == 2 {
+				streams++
+			} else if in.Proxy == 1 {
+				last = in.Reading.Classes[0].Visits
+			}
+		}
+	}
+	if progress != many || streams != 1 || last != many-1 || loop.Folded() == 0 || len(mail) > many+mailMost+2 {
+		t.Errorf("%d of %d kept, newest reading %d, %d folded, %d in all", progress, many, last, loop.Folded(), len(mail))
+	}
+}
+
+// TestReplayNamesWhatDiffers: records replay; a changed order, an unknown event and a cut last line are told with file
+// and line.
+func TestReplayNamesWhatDiffers(t *testing.T) {
+	loop := testLoop(t)
+	var text bytes.Buffer
+	w, err := records.NewWriter(&text, records.Start{Governor: "g", Site: loop.core.site, Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := fleet.Second
+	in := []Input{list.Update{Scope: fleet.ListFull, Doc: loop.source.(fixedList).doc}, front.Up{Proxy: 0, Stream: 1, Held: steer.Snapshot{Weight: 5}}}
+	for range 400 {
+		out := loop.core.Turn(now, in)
+		if in = nil; out.Stepped {
+			w.Step(now, out.Events, out.Orders, loop.names.Count(), func(id fleet.ServerID) string { n, _ := loop.names.Of(id); return n })
+		}
+		for _, m := range out.Messages {
+			in = append(in, front.Answer{Proxy: m.Proxy, Stream: 1, Seq: m.Seq})
+		}
+		now += 50 * fleet.Millisecond
+	}
+	if err := w.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	whole := text.String()
+	steps, orders, err := records.Replay("r", strings.NewReader(whole))
+	if err != nil || steps < 50 || orders < 50 {
+		t.Fatalf("%d steps, %d orders: %v", steps, orders, err)
+	}
+	lines := strings.SplitAfter(whole, "\n")
+	changed := strings.Replace(whole, `"Is":"Share","V":{"Table":0,"Server":0,"Weight":`, `"Is":"Share","V":{"Table":0,"Server":0,"Weight":1`, 1)
+	for bad, want := range map[string]string{
+		changed:               "the module gives Share",
+		whole[:len(whole)-20]: "unexpected end of JSON",
+		strings.Join(lines[:1], "") + `{"Now":1,"Events":[{"Is":"Odd","V":{}}]}`: `r:2: event 0: "Odd" is no event`,
+		strings.Replace(whole, `"Format":1`, `"Format":9`, 1):                    "r:1: format 9 is not known",
+		"": "r: is empty",
+	} {
+		if _, _, err := records.Replay("r", strings.NewReader(bad)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %q", err, want)
+		}
+	}
+}
