--- a/governor/loop.go
+++ b/governor/loop.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"os"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,6 +26,7 @@
 	mailMost  = 4096             // inputs that wait before readings of one proxy are folded into the newest
 	tookMost  = int64(time.Hour) // of the histogram of turns
 	probeBody = 1 << 12          // bytes read of a probe's answer
+	loadUnit  = 1000             // load figures stand in thousandths, as proxies keep whole numbers
 )
 
 // Loop runs a Core: one goroutine that owns it, a mailbox, a clock and a timer.
@@ -207,7 +210,8 @@
 	e.Str("from", line.From).Time("at", time.Unix(0, int64(line.At))).Msg(line.Text)
 }
 
-// ask probes a server over HTTP; the load figures stand in the answer's X-Load header, separated by commas.
+// ask probes a server over HTTP; the load figures stand in the answer's X-Load header, in thousandths,
+// separated by commas.
 func (l *Loop) ask(id fleet.ServerID) {
 	_, addr := l.names.Of(id)
 	began := time.Now()
@@ -237,13 +241,12 @@
 }
 
 func readLoad(text string) (load []float32) {
-	for len(text) > 0 {
-		var v float32
-		var rest string
-		if n, _ := fmt.Sscanf(text, "%g,%s", &v, &rest); n == 0 {
-			return load
+	for _, f := range strings.Split(text, ",") {
+		v, err := strconv.ParseUint(f, 10, 32)
+		if err != nil {
+			break
 		}
-		load, text = append(load, v), rest
+		load = append(load, float32(v)/loadUnit)
 	}
 	return load
 }
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -310,9 +310,9 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// loadHeader writes the load figures: busy share, visits held, recent service time in ms.
+// loadHeader writes the load figures in thousandths: busy share, visits held, recent service time in ms.
 func (n *Node) loadHeader(w http.ResponseWriter) {
-	w.Header().Set("X-Load", fmt.Sprintf("%.3f,%d,%.1f", n.busy, n.held, n.service))
+	w.Header().Set("X-Load", fmt.Sprintf("%.0f,%d,%.0f", 1000*n.busy, 1000*n.held, 1000*n.service))
 }
 
 // Shutdown ends it in an orderly way.
--- a/internal/standin/proxy.go
+++ b/internal/standin/proxy.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -701,8 +700,8 @@
 		t.GoodMs += uint64(time.Since(began).Milliseconds())
 		t.Good++
 		for i, f := range strings.Split(load, ",") {
-			if v, err := strconv.ParseFloat(f, 64); err == nil && i < len(t.Load) {
-				t.Load[i], t.HasLoad = uint64(math.Round(v*1000)), true
+			if v, err := strconv.ParseUint(f, 10, 32); err == nil && i < len(t.Load) {
+				t.Load[i], t.HasLoad = v, true
 			}
 		}
 	case err == nil:
