--- a/front/files/front.go
+++ b/front/files/front.go
@@ -156,6 +156,9 @@
 
 // look acts on a change of a file.
 func (o *folder) look(name string) {
+	if o.front.ctx.Err() != nil {
+		return
+	}
 	o.mu.Lock()
 	var events []front.Event
 	var err error
@@ -423,7 +426,11 @@
 		return
 	}
 	why := fmt.Errorf("its files were not written and will be again: %w", err)
-	go f.sink(front.Unreached{Proxy: o.proxy.ID, Why: why})
+	f.running.Add(1) // Stop waits for it: nothing is posted after
+	go func() {
+		defer f.running.Done()
+		f.sink(front.Unreached{Proxy: o.proxy.ID, Why: why})
+	}()
 	o.retry = time.AfterFunc(time.Duration(o.redial.Failed()), func() {
 		o.mu.Lock()
 		defer o.mu.Unlock()
@@ -481,7 +488,6 @@
 		}
 	}
 	f.cancel()
-	f.running.Wait()
 	for _, o := range f.folders {
 		o.mu.Lock()
 		if o.up {
@@ -489,6 +495,7 @@
 		}
 		o.mu.Unlock()
 	}
+	f.running.Wait()
 	return ctx.Err()
 }
 
--- a/governor/files_test.go
+++ b/governor/files_test.go
@@ -62,9 +62,11 @@
 	for step := range 5 {
 		for nth := range 3 { // of the swaps: tables, levels, tables again
 			y := newFolders(t, 1, servers)
-			swaps := 0
-			dead := false
+			var mu sync.Mutex // swaps are tried again from a timer
+			swaps, dead := 0, false
 			y.govern(servers, func(_ string, s int) error {
+				mu.Lock()
+				defer mu.Unlock()
 				if s == 0 {
 					swaps++
 				}
@@ -76,7 +78,9 @@
 			before := y.front
 			y.lay(servers)
 			y.until("cut", func() bool {
-				if swaps == 2 && !dead { // something for a third swap
+				mu.Lock()
+				defer mu.Unlock()
+				if swaps == 2 && !dead { // something for a third swap; until sends it with the lock free
 					y.plane.Order(y.now(), []fleet.Order{fleet.Share{Server: 4, Weight: 0.9}})
 				}
 				return dead
--- a/governor/governor_test.go
+++ b/governor/governor_test.go
@@ -100,7 +100,8 @@
 // begin starts a front and ends it with the test.
 func (y *yard) begin(f front.Front) {
 	y.front = f
-	if err := f.Start(context.Background(), func(e front.Event) { y.events <- e }); err != nil {
+	events := y.events // the next front of this yard has others
+	if err := f.Start(context.Background(), func(e front.Event) { events <- e }); err != nil {
 		y.t.Fatal(err)
 	}
 	y.t.Cleanup(func() {
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -307,7 +307,7 @@
 
 func (w *Watch) judgeBare(f Figures) Verdict {
 	v := Verdict{Rule: RuleBare, Tried: w.lookups}
-	end, most := w.now(), time.Duration(0)
+	end, most, where := w.now(), time.Duration(0), ""
 	for _, b := range w.bare {
 		to := cmp.Or(b.to, end)
 		for _, s := range w.sessions {
@@ -319,14 +319,16 @@
 				continue
 			}
 			lacked := w.warmReady(w.owner[b.proxy], from, until, f)
-			most = max(most, lacked)
+			if lacked > most {
+				most, where = lacked, fmt.Sprintf(" (%s, %s, at %.2f s)", b.proxy, b.class, from.Seconds())
+			}
 			if lacked > f.Bare+f.Slack {
 				v.Breaks = append(v.Breaks, Break{v.Rule, from, fmt.Sprintf(
 					"proxy %s had no line for %s for %.2f s while a warm server was listed", b.proxy, b.class, lacked.Seconds())})
 			}
 		}
 	}
-	v.Seen = fmt.Sprintf("longest without a line %.2f s of %.2f s; %d spans", most.Seconds(), f.Bare.Seconds(), len(w.bare))
+	v.Seen = fmt.Sprintf("longest without a line %.3f s of %.2f s%s; %d spans", most.Seconds(), f.Bare.Seconds(), where, len(w.bare))
 	return v
 }
 
