Order a message's changes so that no class stands bare while it is read

A slow reader would have been bare for seconds. steer arranges each message now; the random schedules check it after every change and found it at once before.

--- a/steer/channel.go
+++ b/steer/channel.go
@@ -126,13 +126,17 @@
 		b = x.due[0]
 		x.due = slices.Delete(x.due, 0, 1)
 	}
+	effects := p.effects[:0]
+	for range b.changes { // of a sweep: these lines are out already
+		effects = append(effects, 0)
+	}
 	take := func(keys []key, urgent bool, most int) []key {
 		n := 0
 		for ; n < len(keys) && most > 0; n++ {
 			if k := keys[n]; x.pending[k] == urgent && pendingHas(x, k) {
 				delete(x.pending, k)
 				before := len(b.changes)
-				b.changes = p.difference(b.changes, x, k)
+				b.changes, effects = p.difference(b.changes, effects, x, k)
 				for range len(b.changes) - before {
 					b.keys = append(b.keys, k)
 				}
@@ -143,7 +147,9 @@
 		return slices.Delete(keys, 0, n)
 	}
 	x.urgent = take(x.urgent, true, max(1, len(x.urgent)))
+	urgent := len(b.changes)
 	x.ordinary = take(x.ordinary, false, x.allowed)
+	p.effects = effects
 	if x.allowed = max(0, x.allowed); len(x.pending) == 0 {
 		x.allowed, x.urgent, x.ordinary = 0, x.urgent[:0], x.ordinary[:0]
 	}
@@ -151,6 +157,7 @@
 		p.answered(now, b)
 		return Message{}, false
 	}
+	p.arrange(now, x, b, urgent, effects)
 	if b.seq == 0 {
 		p.seq++
 		b.seq = p.seq
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -150,6 +150,7 @@
 	alarms  []Alarm
 	waiting float64 // lines in the queue, heads included
 	paces   paces
+	effects []int8 // of the message being written; kept for its room
 	swept   fleet.Time
 }
 
@@ -592,14 +593,15 @@
 	return false
 }
 
-// difference appends the changes that bring a line of a proxy to what is wanted, and takes them as sent.
-func (p *Plane) difference(to []Change, x *proxy, k key) []Change {
+// difference appends the changes that bring a line of a proxy to what is wanted, and takes them as sent. Beside each it
+// appends whether that gives (1) or takes (-1) a line to pick.
+func (p *Plane) difference(to []Change, effects []int8, x *proxy, k key) ([]Change, []int8) {
 	if k.server == noServer {
 		if want := p.wantLevel(x, int(k.class)); want.Known && x.levels[k.class] != want {
 			x.levels[k.class] = want
-			to = append(to, Change{Kind: SetLevels, Class: k.class, Level: want})
+			to, effects = append(to, Change{Kind: SetLevels, Class: k.class, Level: want}), append(effects, 0)
 		}
-		return to
+		return to, effects
 	}
 	for c := range p.classes() {
 		have, want := &x.sent[int(k.server)*p.classes()+c], p.wantCell(x, k.server, c)
@@ -621,10 +623,17 @@
 			}
 		}
 		ch.Moved = have.Astray && have.Present
+		effect := int8(0)
+		switch before, after := have.usable(), want.usable(); {
+		case after && !before:
+			effect = 1
+		case before && !after:
+			effect = -1
+		}
 		*have = want
-		to = append(to, ch)
+		to, effects = append(to, ch), append(effects, effect)
 	}
-	return to
+	return to, effects
 }
 
 // Lines tells how many lines wait in the channel, heads included: what the queue rule bounds.
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -23,6 +23,7 @@
 	lines  map[[2]uint32]Cell // by server and class
 	levels map[fleet.ClassID]Level
 	inbox  []Message
+	broken string
 }
 
 func (f *far) snapshot() Snapshot {
@@ -36,9 +37,34 @@
 	return s
 }
 
-// apply carries one message out, up to so many changes, and tells what failed.
+// usable counts the lines of a class that can be picked.
+func (f *far) usable(class uint32) (n int) {
+	for k, c := range f.lines {
+		if k[1] == class && c.State == In && c.Weight > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// apply carries one message out, up to so many changes, and tells what failed. A class that has a line to pick before
+// and after a message must have one at each moment between.
 func (f *far) apply(m Message, most int) (failures []Failure) {
+	before := [2]int{f.usable(0), f.usable(1)}
+	bare := [2]int{-1, -1}
+	defer func() {
+		for c := range 2 {
+			if before[c] > 0 && bare[c] >= 0 && f.usable(uint32(c)) > 0 && len(failures) == 0 && most >= len(m.Changes) {
+				f.broken = fmt.Sprintf("class %d bare after change %d of %+v", c, bare[c], m.Changes)
+			}
+		}
+	}()
 	for i, ch := range m.Changes[:min(most, len(m.Changes))] {
+		for c := range 2 {
+			if i > 0 && f.usable(uint32(c)) == 0 {
+				bare[c] = i
+			}
+		}
 		k := [2]uint32{uint32(ch.Server), uint32(ch.Class)}
 		cell, has := f.lines[k]
 		switch ch.Kind {
@@ -212,6 +238,9 @@
 			t.Fatalf("not at rest: %.0f lines wait", p.Lines())
 		}
 		for i, f := range fars {
+			if f.broken != "" {
+				t.Error(f.broken)
+			}
 			for s := range servers {
 				for c := range 2 {
 					got := f.lines[[2]uint32{uint32(s), uint32(c)}]
