Let a judge have its say on each message; bound the queue and the messages to a proxy

The guard needs a place between orders and fronts that sees what each proxy will hold. steer proposes changes as a draft with sums of ready servers' lines, asks a judge, keeps what it holds back to be tried again with one alarm a reason, and arranges what passes so that neither the lines of a class nor the share of a cold server is ever worse than before or after. Lines over the backlog wait outside the channel, messages to a proxy keep to their limit.

--- a/steer/arrange.go
+++ b/steer/arrange.go
@@ -1,93 +1,140 @@
 package steer
 
-import "cressknot/fleet"
+import (
+	"slices"
 
-// usable tells whether a cell lets visits in.
-func (c Cell) usable() bool { return c.Present && !c.Unknown && c.State == In && c.Weight > 0 }
+	"cressknot/fleet"
+)
 
-// arrange puts a message's changes into the order in which they do least harm while the proxy reads them one by one:
-// what is urgent first, then lines that warm servers gain, then other weights, then lines of cold servers, which so
-// meet the others' full weights, and last what takes lines away. Where something urgent would take a class's last
-// line, a line that the same message gives it goes before. Without this a class that moves from one set of servers to
-// another stood bare for as long as the proxy took to read a table (50 ms and more, seen at 150 servers).
-// The first so many changes are urgent; effects tells of each change whether it gives (1) or takes (-1) a line.
-func (p *Plane) arrange(now fleet.Time, x *proxy, b *parcel, urgent int, effects []int8) {
-	takes := false
-	for _, e := range effects {
-		takes = takes || e < 0
-	}
-	if !takes {
-		return // whatever the order, no class loses its last line
+// Proposal is one change that a message would make, with what the proxy holds of it before and after. A judge may
+// hold it back, or lower the weight that it wants.
+type Proposal struct {
+	Change
+	Have, Want  Cell   // of lines
+	Ready, Cold bool   // the line's server: listed as ready; started a short while ago
+	Urgent      bool   // keeps visits from where they do harm: goes first
+	Hold        string // why a judge holds it back
+	Lowered     string // why a judge wants less than was wanted
+	key         key
+	at          int // of the line in sent
+}
+
+// Usable tells whether a cell lets visits in.
+func (c Cell) Usable() bool { return c.Present && !c.Unknown && c.State == In && c.Weight > 0 }
+
+// Gives tells whether the change gives (1) or takes (-1) the class a line of a ready server.
+func (p *Proposal) Gives() int {
+	switch {
+	case !p.Ready || p.Kind == SetLevels || p.Hold != "":
+		return 0
+	case p.Want.Usable() && !p.Have.Usable():
+		return 1
+	case p.Have.Usable() && !p.Want.Usable():
+		return -1
 	}
-	left := make([]int, p.classes()) // usable lines while the message is read
-	for at, cell := range x.sent {
-		if cell.usable() {
-			left[at%p.classes()]++
-		}
+	return 0
+}
+
+// Adds gives by how much the change raises the weights of ready servers' usable lines.
+func (p *Proposal) Adds() int {
+	if !p.Ready || p.Kind == SetLevels || p.Hold != "" {
+		return 0
 	}
-	for i, e := range effects {
-		left[b.changes[i].Class] -= int(e)
+	return weightIn(p.Want) - weightIn(p.Have)
+}
+
+func weightIn(c Cell) int {
+	if c.Usable() {
+		return int(c.Weight)
 	}
+	return 0
+}
+
+// Draft is a message before it leaves, with what the proxy holds before it.
+type Draft struct {
+	Proxy     fleet.ProxyID
+	Proposals []Proposal
+	Lines     []int      // by class: lines to pick of ready servers
+	Sum       []int      // by class: their weights
+	Cold      []ColdLine // of ready servers that started a short while ago
+	Alone     bool       // nothing else is on its way to the proxy
+}
+
+// ColdLine is a usable line of a cold server.
+type ColdLine struct {
+	Class  fleet.ClassID
+	Server fleet.ServerID
+	Cell   Cell
+	at     int
+	server int32
+}
+
+// Judge is asked about each message before it leaves. It may hold proposals back, lower their weights and add cuts by
+// Cut; it changes nothing else.
+type Judge interface {
+	Joined(now fleet.Time, d *Draft) // what a proxy holds at its join
+	Message(now fleet.Time, d *Draft)
+	Answered(now fleet.Time, d *Draft) // all is answered: what the proxy holds for sure
+	Left(id fleet.ProxyID)
+}
+
+// Cut adds a change that lowers a cold line to a weight.
+func (d *Draft) Cut(line ColdLine, weight int16, why string) {
+	want := line.Cell
+	want.Weight = weight
+	d.Proposals = append(d.Proposals, Proposal{Change: Change{Kind: SetLine, Class: line.Class, Server: line.Server, Weight: weight},
+		Have: line.Cell, Want: want, Ready: true, Cold: true, Urgent: true, Lowered: why, key: key{server: line.server}, at: line.at})
+}
+
+// Arrange puts proposals into the order in which they do least harm while the proxy reads them one by one: what keeps
+// visits away from gone and cold servers first, then what warm lines gain, then what cold ones gain, which so meet the
+// others' full weights, then what warm lines lose, and last what takes lines of ready servers away. So the share of a
+// cold server is never above what it was before or will be after, and a class that has a line before and after a
+// message has one at each moment between. Where something urgent would take a class's last line, a line that the same
+// message gives it goes before. Without this a class that moves from one set of servers to another stood bare for as
+// long as the proxy took to read a table (50 ms and more, seen at 150 servers).
+func Arrange(d *Draft) {
 	const (
-		warm = iota
-		same
-		cold
-		taken
-		ranks
+		urgent = iota
+		gain
+		rise
+		coldRise
+		fall
+		take
 	)
-	var rest [ranks][]int
-	for i := urgent; i < len(effects); i++ {
-		rank := same
+	rank := func(p *Proposal) int {
+		gives, adds := p.Gives(), p.Adds()
 		switch {
-		case effects[i] < 0:
-			rank = taken
-		case effects[i] > 0 && p.cold(&p.servers[b.keys[i].server], now):
-			rank = cold
-		case effects[i] > 0:
-			rank = warm
+		case p.Cold && p.Ready && adds < 0, p.Urgent && gives >= 0 && adds <= 0:
+			return urgent
+		case gives < 0:
+			return take
+		case p.Cold && adds > 0:
+			return coldRise
+		case gives > 0:
+			return gain
+		case adds < 0:
+			return fall
 		}
-		rest[rank] = append(rest[rank], i)
+		return rise
 	}
-	done := make([]bool, len(effects))
-	order := make([]int, 0, len(effects))
-	emit := func(i int) {
-		if !done[i] {
-			done[i] = true
-			order = append(order, i)
-			left[b.changes[i].Class] += int(effects[i])
+	slices.SortStableFunc(d.Proposals, func(a, b Proposal) int { return rank(&a) - rank(&b) })
+	left := slices.Clone(d.Lines)
+	for i := 0; i < len(d.Proposals); i++ {
+		p := &d.Proposals[i]
+		if p.Kind == SetLevels || p.Hold != "" {
+			continue
 		}
-	}
-	// give finds a line that the message gives a class, the urgent ones too, and lets it go now.
-	give := func(class fleet.ClassID) {
-		for i := range effects[:urgent] {
-			if effects[i] > 0 && !done[i] && b.changes[i].Class == class {
-				emit(i)
-				return
-			}
-		}
-		for _, rank := range []int{warm, cold} {
-			for _, i := range rest[rank] {
-				if !done[i] && b.changes[i].Class == class {
-					emit(i)
-					return
+		last := p.Gives() < 0 && left[p.Class] == 1 || !p.Ready && p.Have.Usable() && left[p.Class] == 0
+		if last && rank(p) == urgent {
+			for j := i + 1; j < len(d.Proposals); j++ {
+				if q := d.Proposals[j]; q.Class == p.Class && q.Gives() > 0 {
+					copy(d.Proposals[i+1:j+1], d.Proposals[i:j])
+					d.Proposals[i] = q
+					break
 				}
 			}
 		}
+		left[d.Proposals[i].Class] += d.Proposals[i].Gives()
 	}
-	for i := range urgent {
-		if class := b.changes[i].Class; effects[i] < 0 && !done[i] && left[class] == 1 {
-			give(class)
-		}
-		emit(i)
-	}
-	for _, of := range rest {
-		for _, i := range of {
-			emit(i)
-		}
-	}
-	changes, keys := make([]Change, len(order)), make([]key, len(order))
-	for to, from := range order {
-		changes[to], keys[to] = b.changes[from], b.keys[from]
-	}
-	b.changes, b.keys = changes, keys
 }
--- a/steer/channel.go
+++ b/steer/channel.go
@@ -28,6 +28,11 @@
 	if lines == 0 && mark == nil {
 		return b
 	}
+	if p.waiting+p.cost(b) > p.site.BacklogMost { // no more may wait: it is put into the channel when there is room
+		x.deferred = true
+		p.deferrals++
+		return b
+	}
 	p.seq++
 	b.seq, b.before = p.seq, p.seq
 	p.queue, p.open = append(p.queue, b), append(p.open, b)
@@ -52,10 +57,15 @@
 			}
 			x.failed = x.failed[:0]
 		}
-		if x.queued == 0 && len(x.due) == 0 && x.retryAt == 0 { // the last one takes along what is left over
+		if x.deferred && p.waiting+p.site.MessageHead+float64(len(x.pending)) <= p.site.BacklogMost/2 {
+			x.deferred = false
+			p.send(now, x, len(x.pending), nil)
+		}
+		p.again(now, x)
+		if x.queued == 0 && len(x.due) == 0 && x.retryAt == 0 && !x.deferred { // the last one takes along what is left over
 			x.allowed = max(x.allowed, len(x.pending))
 		}
-		for len(x.flying) < window && (len(x.due) > 0 || x.allowed > 0 && len(x.pending) > 0) {
+		for len(x.flying) < window && p.mayWrite(now, x) && (len(x.due) > 0 || x.allowed > 0 && len(x.pending) > 0) {
 			if m, ok := p.write(now, x); ok {
 				out = append(out, m)
 			}
@@ -73,6 +83,7 @@
 	}
 	for _, x := range p.order {
 		soon(x.retryAt)
+		soon(x.againAt)
 		if len(x.flying) > 0 {
 			soon(x.heard + p.stuckAfter())
 			if slow := x.flying[0].left + p.slowAfter(); slow > now {
@@ -126,20 +137,13 @@
 		b = x.due[0]
 		x.due = slices.Delete(x.due, 0, 1)
 	}
-	effects := p.effects[:0]
-	for range b.changes { // of a sweep: these lines are out already
-		effects = append(effects, 0)
-	}
+	d := p.draft(now, x)
 	take := func(keys []key, urgent bool, most int) []key {
 		n := 0
 		for ; n < len(keys) && most > 0; n++ {
 			if k := keys[n]; x.pending[k] == urgent && pendingHas(x, k) {
 				delete(x.pending, k)
-				before := len(b.changes)
-				b.changes, effects = p.difference(b.changes, effects, x, k)
-				for range len(b.changes) - before {
-					b.keys = append(b.keys, k)
-				}
+				p.propose(now, d, x, k, urgent)
 				most--
 				x.allowed--
 			}
@@ -147,17 +151,19 @@
 		return slices.Delete(keys, 0, n)
 	}
 	x.urgent = take(x.urgent, true, max(1, len(x.urgent)))
-	urgent := len(b.changes)
 	x.ordinary = take(x.ordinary, false, x.allowed)
-	p.effects = effects
 	if x.allowed = max(0, x.allowed); len(x.pending) == 0 {
 		x.allowed, x.urgent, x.ordinary = 0, x.urgent[:0], x.ordinary[:0]
 	}
+	if p.judge != nil && len(d.Proposals) > 0 {
+		p.judge.Message(now, d)
+	}
+	Arrange(d)
+	p.adopt(now, x, b, d)
 	if len(b.changes) == 0 { // nothing differs any more: as if answered
 		p.answered(now, b)
 		return Message{}, false
 	}
-	p.arrange(now, x, b, urgent, effects)
 	if b.seq == 0 {
 		p.seq++
 		b.seq = p.seq
@@ -167,14 +173,70 @@
 	}
 	x.flying = append(x.flying, b)
 	x.writes++
+	if p.site.MessagesMost > 0 {
+		x.wrote = append(x.wrote, now)
+	}
 	p.paces.messages++
 	p.paces.lines += uint64(b.lines)
 	p.paces.changes += uint64(len(b.changes))
 	return Message{Proxy: x.id, Seq: b.seq, Lines: b.lines, Changes: b.changes}, true
 }
 
+// draft tells what a proxy holds, once all that is on its way has arrived.
+func (p *Plane) draft(now fleet.Time, x *proxy) *Draft {
+	d := &p.scratch
+	*d = Draft{Proxy: x.id, Proposals: d.Proposals[:0], Lines: x.lines, Sum: x.sums, Cold: d.Cold[:0], Alone: len(x.flying) == 0}
+	for _, i := range p.coldNow(now) {
+		for c := range p.classes() {
+			at := int(i)*p.classes() + c
+			if cell := x.sent[at]; cell.Usable() && p.ready(i) {
+				d.Cold = append(d.Cold, ColdLine{fleet.ClassID(c), p.servers[i].id, cell, at, i})
+			}
+		}
+	}
+	return d
+}
+
+// coldNow gives the servers that are cold; it forgets those that have grown warm.
+func (p *Plane) coldNow(now fleet.Time) []int32 {
+	p.coldOnes = slices.DeleteFunc(p.coldOnes, func(i int32) bool { return !p.cold(&p.servers[i], now) })
+	return p.coldOnes
+}
+
+// adopt takes what a judge let pass as sent, and keeps what it held back to be tried again.
+func (p *Plane) adopt(now fleet.Time, x *proxy, b *parcel, d *Draft) {
+	for i := range d.Proposals {
+		q := &d.Proposals[i]
+		if why := cmp.Or(q.Hold, q.Lowered); why != "" {
+			p.refuse(now, x, q, why)
+		} else if _, was := x.held[q.key]; was {
+			p.allow(x, q.key)
+		}
+		switch {
+		case q.Hold != "":
+			continue
+		case q.Kind == SetLevels:
+			x.levels[q.Class] = q.Level
+		case q.Want == q.Have:
+			continue // lowered to what stands
+		default:
+			p.set(x, q.at, q.Want)
+		}
+		b.changes, b.keys = append(b.changes, q.Change), append(b.keys, q.key)
+	}
+}
+
 func pendingHas(x *proxy, k key) bool { _, ok := x.pending[k]; return ok }
 
+// mayWrite keeps to the messages that may go to one proxy within a time; the last ones are kept for what is urgent.
+func (p *Plane) mayWrite(now fleet.Time, x *proxy) bool {
+	if most := p.site.MessagesMost; most > 0 {
+		x.wrote = slices.DeleteFunc(x.wrote, func(at fleet.Time) bool { return at <= now-p.site.MessagesOver })
+		return len(x.wrote) < most-spareWrites || len(x.wrote) < most && len(x.urgent) > 0
+	}
+	return true
+}
+
 // Progress tells that some answer came from a proxy: it is slow perhaps, not stuck.
 func (p *Plane) Progress(now fleet.Time, id fleet.ProxyID) {
 	if x := p.proxies[id]; x != nil {
@@ -204,6 +266,9 @@
 		x.backoff = 0
 	}
 	p.answered(now, b) // marks are settled by Next
+	if len(x.flying) == 0 && p.judge != nil {
+		p.judge.Answered(now, p.draft(now, x))
+	}
 }
 
 // fail takes back what a change that was not done was taken to do, and has it sent anew: at once where the error
@@ -214,22 +279,24 @@
 		x.levels[ch.Class] = Level{}
 		again = false
 	} else {
-		cell := &x.sent[int(k.server)*p.classes()+int(ch.Class)]
+		at := int(k.server)*p.classes() + int(ch.Class)
 		switch {
 		case f.Fault == NoLine:
-			*cell = Cell{}
-			x.own[int(k.server)*p.classes()+int(ch.Class)] = Cell{}
+			p.set(x, at, Cell{})
+			x.own[at] = Cell{}
 			if ch.Kind == DelLine {
 				return
 			}
 			again = ch.Kind == SetLine
 		case f.Fault == LineExists:
-			*cell = Cell{Present: true, Unknown: true}
+			p.set(x, at, Cell{Present: true, Unknown: true})
 		case f.Fault == InUse:
-			*cell = Cell{Present: true, Weight: ch.Weight, State: Out}
+			p.set(x, at, Cell{Present: true, Weight: ch.Weight, State: Out})
 			return // the next sweep tries again
 		default:
+			cell := x.sent[at]
 			cell.Unknown, cell.Present = ch.Kind != AddLine, ch.Kind != AddLine
+			p.set(x, at, cell)
 			again = false
 		}
 	}
@@ -239,7 +306,7 @@
 		return
 	}
 	if x.backoff == 0 {
-		p.alarms = append(p.alarms, Alarm{x.id, "a change was refused and will be sent again: " + f.Text})
+		p.alarms = append(p.alarms, Alarm{Proxy: x.id, Text: "a change was refused and will be sent again: " + f.Text})
 	}
 	if !slices.Contains(x.failed, k) {
 		x.failed = append(x.failed, k)
@@ -296,7 +363,7 @@
 	for _, x := range slices.Clone(p.order) {
 		if len(x.flying) > 0 && now >= x.heard+p.stuckAfter() {
 			p.drops = append(p.drops, x.id)
-			p.alarms = append(p.alarms, Alarm{x.id, "nothing came back to its messages; its stream is broken off"})
+			p.alarms = append(p.alarms, Alarm{Proxy: x.id, Text: "nothing came back to its messages; its stream is broken off"})
 			p.Leave(x.id)
 		}
 	}
@@ -317,11 +384,12 @@
 		for _, x := range p.order {
 			b := &parcel{proxy: x, ordered: now, left: now, done: true}
 			for c := range p.classes() {
-				cell := &x.sent[i*p.classes()+c]
+				cell := x.sent[i*p.classes()+c]
 				if cell.Present && cell.State == Out && !cell.Unknown {
 					ch := Change{Kind: DelLine, Class: fleet.ClassID(c), Server: s.id, Weight: cell.Weight}
 					b.changes, b.keys = append(b.changes, ch), append(b.keys, key{server: int32(i)})
-					*cell, x.own[i*p.classes()+c] = Cell{}, Cell{}
+					p.set(x, i*p.classes()+c, Cell{})
+					x.own[i*p.classes()+c] = Cell{}
 				}
 			}
 			if len(b.changes) > 0 {
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -14,20 +14,21 @@
 )
 
 const (
-	weightMost = 256 // of a server in the runtime API of a proxy
-	weightAim  = 128 // of a table's largest line when it is scaled: may double before all lines change
-	weightFew  = 64  // of a table's largest line: under it rounding is over 0.8% of that line, so it is scaled anew
-	perMille   = 1000
-	rateAll    = 1e6                     // visits a second that no proxy reaches: let in all
-	window     = 2                       // messages to a proxy without answers: one applies while one travels
-	burst      = 50 * fleet.Millisecond  // the pace may be caught up by so much: a timer's delay under load
-	slowTravel = 4                       // mean ways of a message after which a proxy is slow and holds no mark
-	slowLeast  = 500 * fleet.Millisecond // the same at least: a turn of a loaded proxy's event loop
-	stuckTurns = 4                       // longest ways without any answer after which a proxy counts as gone
-	stuckLeast = 5 * fleet.Second        // the same at least: a proxy's reload takes some seconds
-	retryFirst = fleet.Second            // wait before a change that was answered with an error is sent again
-	retryLast  = 32 * fleet.Second       // the same at most, by doubling
-	forgetGone = 60 * fleet.Second       // a gone server's lines are deleted after so long, when visits have ended
+	weightMost  = 256 // of a server in the runtime API of a proxy
+	weightAim   = 128 // of a table's largest line when it is scaled: may double before all lines change
+	weightFew   = 64  // of a table's largest line: under it rounding is over 0.8% of that line, so it is scaled anew
+	perMille    = 1000
+	rateAll     = 1e6                     // visits a second that no proxy reaches: let in all
+	window      = 2                       // messages to a proxy without answers: one applies while one travels
+	spareWrites = 3                       // of the messages that may go to a proxy: kept for what is urgent
+	burst       = 50 * fleet.Millisecond  // the pace may be caught up by so much: a timer's delay under load
+	slowTravel  = 4                       // mean ways of a message after which a proxy is slow and holds no mark
+	slowLeast   = 500 * fleet.Millisecond // the same at least: a turn of a loaded proxy's event loop
+	stuckTurns  = 4                       // longest ways without any answer after which a proxy counts as gone
+	stuckLeast  = 5 * fleet.Second        // the same at least: a proxy's reload takes some seconds
+	retryFirst  = fleet.Second            // wait before a change that was answered with an error is sent again
+	retryLast   = 32 * fleet.Second       // the same at most, by doubling
+	forgetGone  = 60 * fleet.Second       // a gone server's lines are deleted after so long, when visits have ended
 )
 
 // State is what keeps visits from a line, beside its weight.
@@ -139,23 +140,29 @@
 	proxies map[fleet.ProxyID]*proxy
 	order   []*proxy // by id, so that what is emitted is the same each time
 
-	queue   []*parcel // waits for the pace, first out first; those before head have left
-	head    int
-	seq     uint64
-	open    []*parcel // by seq: left the queue or not, not answered; done ones are cut from the front
-	credit  float64   // lines that may leave now
-	paced   fleet.Time
-	events  []fleet.Event
-	drops   []fleet.ProxyID
-	alarms  []Alarm
-	waiting float64 // lines in the queue, heads included
-	paces   paces
-	effects []int8 // of the message being written; kept for its room
-	swept   fleet.Time
+	queue     []*parcel // waits for the pace, first out first; those before head have left
+	head      int
+	seq       uint64
+	open      []*parcel // by seq: left the queue or not, not answered; done ones are cut from the front
+	credit    float64   // lines that may leave now
+	paced     fleet.Time
+	events    []fleet.Event
+	drops     []fleet.ProxyID
+	alarms    []Alarm
+	waiting   float64 // lines in the queue, heads included
+	paces     paces
+	judge     Judge // may be nil
+	scratch   Draft // of the message being written; kept for its room
+	coldOnes  []int32
+	heardList bool
+	refused   map[refusalOf]*Refusal
+	deferrals uint64
+	swept     fleet.Time
 }
 
 type server struct {
 	id        fleet.ServerID
+	listed    bool
 	state     fleet.ServerState
 	started   fleet.Time
 	gone      fleet.Time // since when, 0: not
@@ -181,8 +188,14 @@
 	on       []fleet.TableID // by class
 	bound    []bool          // by class
 	fresh    bool
-	sent     []Cell // by server index times classes, then class: what it holds once all is answered
-	own      []Cell // the same as it was at the join, for classes that are not bound
+	lines    []int          // by class: usable lines of ready servers in sent
+	sums     []int          // by class: their weights
+	held     map[key]string // held back by the judge, and why
+	againAt  fleet.Time     // when those are tried again
+	wrote    []fleet.Time   // messages within the time that they are counted over
+	deferred bool           // its lines wait outside the full channel
+	sent     []Cell         // by server index times classes, then class: what it holds once all is answered
+	own      []Cell         // the same as it was at the join, for classes that are not bound
 	levels   []Level
 	urgent   []key // dirty, in the order of their lines; in pending
 	ordinary []key
@@ -220,16 +233,20 @@
 
 // Alarm is something that staff should hear of.
 type Alarm struct {
-	Proxy fleet.ProxyID
-	Text  string
+	Proxy   fleet.ProxyID
+	Text    string
+	Refused *Refusal // what was held back, if that is it
 }
 
 // New makes an empty plane.
 func New(site fleet.Site) *Plane {
-	return &Plane{site: site, index: map[fleet.ServerID]int32{}, tables: map[fleet.TableID]*table{},
+	return &Plane{site: site, index: map[fleet.ServerID]int32{}, tables: map[fleet.TableID]*table{}, refused: map[refusalOf]*Refusal{},
 		every: make([]level, len(site.Classes)), proxies: map[fleet.ProxyID]*proxy{}, paced: -1}
 }
 
+// Ask lets a judge have its say on each message from here on.
+func (p *Plane) Ask(j Judge) { p.judge = j }
+
 func (p *Plane) classes() int { return len(p.site.Classes) }
 
 func (p *Plane) server(id fleet.ServerID) int32 {
@@ -265,12 +282,29 @@
 		return
 	}
 	listed := map[int32]bool{}
+	if !p.heardList { // from here on those that are not listed don't count
+		for i := range p.servers {
+			p.recount(int32(i), -1)
+		}
+		p.heardList = true
+	}
 	for _, e := range l.Entries {
 		i := p.server(e.Server)
 		s := &p.servers[i]
 		listed[i] = true
 		changed := s.state != e.State && s.withdrawn
-		s.state, s.started = e.State, e.Started
+		was := p.ready(i)
+		s.state, s.started, s.listed = e.State, e.Started, true
+		if is := p.ready(i); is != was {
+			sign := 1
+			if was {
+				sign = -1
+			}
+			p.recount(i, sign)
+		}
+		if p.cold(s, now) && !slices.Contains(p.coldOnes, i) {
+			p.coldOnes = append(p.coldOnes, i)
+		}
 		if e.State == fleet.Gone {
 			s.gone = cmp.Or(s.gone, now)
 		} else {
@@ -285,6 +319,9 @@
 	}
 	for i := range p.servers {
 		if s := &p.servers[i]; !listed[int32(i)] && s.state != fleet.Gone {
+			if p.ready(int32(i)) {
+				p.recount(int32(i), -1)
+			}
 			s.state, s.gone = fleet.Gone, now
 		}
 	}
@@ -295,8 +332,8 @@
 	i := p.server(id)
 	for _, x := range p.order {
 		for c := range p.classes() {
-			if cell := &x.sent[int(i)*p.classes()+c]; cell.Present {
-				cell.Astray = true
+			if at := int(i)*p.classes() + c; x.sent[at].Present {
+				x.sent[at].Astray = true
 				p.touch(x, key{server: i}, true)
 				x.allowed++
 			}
@@ -313,7 +350,8 @@
 	p.Leave(id)
 	n := p.classes()
 	x := &proxy{id: id, zone: snap.Zone, on: make([]fleet.TableID, n), bound: make([]bool, n),
-		pending: map[key]bool{}, levels: make([]Level, n), heard: now, fresh: snap.Fresh}
+		pending: map[key]bool{}, levels: make([]Level, n), heard: now, fresh: snap.Fresh, lines: make([]int, n),
+		sums: make([]int, n), held: map[key]string{}}
 	for _, l := range snap.Lines {
 		p.server(l.Server)
 	}
@@ -321,7 +359,7 @@
 	for _, l := range snap.Lines {
 		if int(l.Class) < n {
 			l.Cell.Present = true
-			x.sent[int(p.index[l.Server])*n+int(l.Class)] = l.Cell
+			p.set(x, int(p.index[l.Server])*n+int(l.Class), l.Cell)
 		}
 	}
 	copy(x.levels, snap.Levels)
@@ -342,6 +380,9 @@
 			p.touch(x, key{noServer, fleet.ClassID(c)}, false)
 		}
 	}
+	if p.judge != nil {
+		p.judge.Joined(now, p.draft(now, x))
+	}
 	p.send(now, x, len(x.pending), nil)
 	p.events = append(p.events, fleet.Joined{Proxy: id, Zone: snap.Zone, Weight: snap.Weight, Fresh: snap.Fresh})
 }
@@ -364,6 +405,12 @@
 			p.waiting -= p.cost(b)
 		}
 	}
+	for k := range x.held {
+		p.allow(x, k)
+	}
+	if p.judge != nil {
+		p.judge.Left(id)
+	}
 	p.events = append(p.events, fleet.Left{Proxy: id})
 	p.settle()
 }
@@ -593,47 +640,83 @@
 	return false
 }
 
-// difference appends the changes that bring a line of a proxy to what is wanted, and takes them as sent. Beside each it
-// appends whether that gives (1) or takes (-1) a line to pick.
-func (p *Plane) difference(to []Change, effects []int8, x *proxy, k key) ([]Change, []int8) {
+// propose adds to a draft what brings a line of a proxy to what is wanted.
+func (p *Plane) propose(now fleet.Time, d *Draft, x *proxy, k key, urgent bool) {
 	if k.server == noServer {
 		if want := p.wantLevel(x, int(k.class)); want.Known && x.levels[k.class] != want {
-			x.levels[k.class] = want
-			to, effects = append(to, Change{Kind: SetLevels, Class: k.class, Level: want}), append(effects, 0)
+			d.Proposals = append(d.Proposals, Proposal{Change: Change{Kind: SetLevels, Class: k.class, Level: want}, Urgent: urgent, key: k})
+		} else {
+			p.allow(x, k)
 		}
-		return to, effects
+		return
 	}
 	for c := range p.classes() {
-		have, want := &x.sent[int(k.server)*p.classes()+c], p.wantCell(x, k.server, c)
-		if *have == want {
+		at := int(k.server)*p.classes() + c
+		have, want := x.sent[at], p.wantCell(x, k.server, c)
+		if have == want || !want.Present && !have.Present {
 			continue
 		}
-		ch := Change{Class: fleet.ClassID(c), Server: p.servers[k.server].id, Weight: want.Weight, State: want.State}
-		switch {
-		case !want.Present && !have.Present:
-			continue
-		case !have.Present && !have.Unknown:
-			ch.Kind = AddLine
-		case !have.Unknown:
-			if have.Weight == want.Weight {
-				ch.Weight = -1
-			}
-			if have.State == want.State {
-				ch.State = Stays
-			}
+		d.Proposals = append(d.Proposals, Proposal{Change: changeTo(fleet.ClassID(c), p.servers[k.server].id, have, want), Have: have,
+			Want: want, Ready: p.ready(k.server), Cold: p.cold(&p.servers[k.server], now), Urgent: urgent, key: k, at: at})
+	}
+	if _, was := x.held[k]; was && !p.differs(x, k.server) {
+		p.allow(x, k)
+	}
+}
+
+// changeTo gives the change that takes a line from what is held to what is wanted.
+func changeTo(class fleet.ClassID, server fleet.ServerID, have, want Cell) Change {
+	ch := Change{Class: class, Server: server, Weight: want.Weight, State: want.State, Moved: have.Astray && have.Present}
+	switch {
+	case !have.Present && !have.Unknown:
+		ch.Kind = AddLine
+	case !have.Unknown:
+		if have.Weight == want.Weight {
+			ch.Weight = -1
+		}
+		if have.State == want.State {
+			ch.State = Stays
+		}
+	}
+	return ch
+}
+
+// Lower gives a proposal less weight than was wanted.
+func (p *Proposal) Lower(weight int16, why string) {
+	p.Want.Weight = weight
+	p.Change, p.Lowered = changeTo(p.Class, p.Server, p.Have, p.Want), why
+}
+
+// set changes what a proxy holds of a line, and the sums that go with it.
+func (p *Plane) set(x *proxy, at int, cell Cell) {
+	c, i := at%p.classes(), int32(at/p.classes())
+	if old := x.sent[at]; p.ready(i) {
+		x.sums[c] += weightIn(cell) - weightIn(old)
+		if old.Usable() {
+			x.lines[c]--
 		}
-		ch.Moved = have.Astray && have.Present
-		effect := int8(0)
-		switch before, after := have.usable(), want.usable(); {
-		case after && !before:
-			effect = 1
-		case before && !after:
-			effect = -1
+		if cell.Usable() {
+			x.lines[c]++
+		}
+	}
+	x.sent[at] = cell
+}
+
+// ready tells whether the list has a server as one that may take visits. Before any list all count.
+func (p *Plane) ready(i int32) bool {
+	return p.servers[i].state == fleet.Ready && (p.servers[i].listed || !p.heardList)
+}
+
+// recount changes the sums of all proxies when a server is listed as ready or no longer.
+func (p *Plane) recount(i int32, sign int) {
+	for _, x := range p.order {
+		for c := range p.classes() {
+			if cell := x.sent[int(i)*p.classes()+c]; cell.Usable() {
+				x.sums[c] += sign * int(cell.Weight)
+				x.lines[c] += sign
+			}
 		}
-		*have = want
-		to, effects = append(to, ch), append(effects, effect)
 	}
-	return to, effects
 }
 
 // Lines tells how many lines wait in the channel, heads included: what the queue rule bounds.
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -435,6 +435,7 @@
 	}
 	p.Order(now, orders[:20])
 	p.Order(now, orders[20:])
+	p.List(now, fleet.List{Scope: fleet.ListDelta, Entries: []fleet.Entry{{Server: 30, State: fleet.Gone}}})
 	p.Order(now, []fleet.Order{fleet.Share{Server: 39, Weight: 0.91}, fleet.Withdraw{Server: 30, Out: true}})
 	now += fleet.Millisecond
 	var first Message
@@ -465,6 +466,51 @@
 	}
 }
 
+// TestQueueAndMessagesStayInBounds: whatever is ordered, no more lines wait than may, and no proxy is written more
+// messages than may be; all arrives in the end.
+func TestQueueAndMessagesStayInBounds(t *testing.T) {
+	s := site()
+	s.BacklogMost, s.MessagesMost, s.MessagesOver = 300, 8, 10*fleet.Second
+	p, now := laid(t, s, 6, 40)
+	written := map[fleet.ProxyID][]fleet.Time{}
+	for i := range 4000 {
+		if i < 600 {
+			var orders []fleet.Order
+			for j := range 40 {
+				orders = append(orders, fleet.Share{Server: fleet.ServerID(j), Weight: 0.3 + float32((i+j)%50)/100})
+			}
+			p.Order(now, orders)
+		}
+		out, _, _, _ := p.Next(now)
+		if p.Lines() > s.BacklogMost {
+			t.Fatalf("%.0f lines wait, %.0f may", p.Lines(), s.BacklogMost)
+		}
+		for _, m := range out {
+			written[m.Proxy] = append(written[m.Proxy], now)
+			n := 0
+			for _, at := range written[m.Proxy] {
+				if at > now-s.MessagesOver {
+					n++
+				}
+			}
+			if n > s.MessagesMost {
+				t.Fatalf("%d messages to proxy %d", n, m.Proxy)
+			}
+			p.Answer(now, m.Proxy, m.Seq, nil)
+		}
+		now += 20 * fleet.Millisecond
+	}
+	if !p.Idle() {
+		t.Error("not at rest")
+	}
+	for j := range 40 {
+		x := p.proxies[3]
+		if x.sent[2*j] != p.wantCell(x, int32(j), 0) {
+			t.Errorf("server %d: %+v", j, x.sent[2*j])
+		}
+	}
+}
+
 // TestGoneLinesAreDeleted: a server gone for long loses its lines; one with visits is tried again later.
 func TestGoneLinesAreDeleted(t *testing.T) {
 	p, now := laid(t, site(), 1, 4)
