Add the guard: messages judged before they leave, weights set by hand judged before a push

It holds back lines of gone servers and a class's last ready line, lowers cold servers' lines to what they bear over all proxies, lowers retry modes that could run a visit twice. Staff set weights by 'set weight', judged first.

--- a/cmd/cressknot/main.go
+++ b/cmd/cressknot/main.go
@@ -137,8 +137,8 @@
 }
 
 func showCommand() *cobra.Command {
-	c := &cobra.Command{Use: "show info|servers|tables|proxies|orders|log", Short: "Show what a running governor holds",
-		ValidArgs: []string{"info", "servers", "tables", "proxies", "orders", "log"},
+	c := &cobra.Command{Use: "show info|servers|tables|proxies|orders|log|refusals", Short: "Show what a running governor holds",
+		ValidArgs: []string{"info", "servers", "tables", "proxies", "orders", "log", "refusals"},
 		Args:      args(cobra.MatchAll(cobra.ExactArgs(1), cobra.OnlyValidArgs))}
 	socket := socketFlag(c)
 	c.RunE = func(c *cobra.Command, a []string) error { return ask(c.OutOrStdout(), socket, "show", a[0]) }
--- a/config/config.go
+++ b/config/config.go
@@ -131,7 +131,9 @@
 		Format string `json:"format"`
 		File   string `json:"file"`
 	} `json:"log"`
-	Records string `json:"records"`
+	Guard   bool     `json:"guard"`
+	Faults  []string `json:"faults"`
+	Records string   `json:"records"`
 }
 
 // Fault is one thing that is wrong in a file.
@@ -445,7 +447,7 @@
 		{"zones", a.Zones, b.Zones}, {"zone", a.Zone, b.Zone}, {"kinds", a.Kinds, b.Kinds}, {"classes", a.Classes, b.Classes},
 		{"proxies", a.Proxies, b.Proxies}, {"list", a.List, b.List}, {"front", a.Front, b.Front},
 		{"channel", a.Channel, b.Channel}, {"reports", a.Reports, b.Reports}, {"servers", a.Servers, b.Servers},
-		{"goal", a.Goal, b.Goal}, {"operators", a.Operators, b.Operators}} {
+		{"goal", a.Goal, b.Goal}, {"guard", a.Guard, b.Guard}, {"faults", a.Faults, b.Faults}, {"operators", a.Operators, b.Operators}} {
 		if fmt.Sprint(f.a) != fmt.Sprint(f.b) {
 			fields = append(fields, f.name)
 		}
--- a/config/schema.cue
+++ b/config/schema.cue
@@ -104,5 +104,8 @@
 		file:   string | *""                    // "": standard error
 	}
 
+	guard: bool | *true // every message is judged before it leaves; false only to see in a drill what it keeps away
+	faults: [...("cold-unbound")] | *[] // for drills: breaks this governor on purpose
+
 	records: string | *"" // file that events and orders are recorded to, for replay
 }
--- a/governor/core.go
+++ b/governor/core.go
@@ -10,6 +10,7 @@
 
 	"cressknot/fleet"
 	"cressknot/front"
+	"cressknot/guard"
 	"cressknot/list"
 	"cressknot/logic"
 	"cressknot/reports"
@@ -60,6 +61,11 @@
 	module    *logic.Governor
 	plane     *steer.Plane
 	gather    *reports.Gather
+	guard     *guard.Guard // knows what staff are told even where it doesn't judge
+	guarded   bool
+	tokens    int
+	broken    map[string]bool
+	forces    map[string]force
 	streams   map[fleet.ProxyID]uint64
 	unreached map[fleet.ProxyID]string // the last reason told
 	alarms    []alarm
@@ -85,7 +91,7 @@
 	c := &Core{site: site, names: names, zones: map[string]fleet.ZoneID{}, kinds: map[string]fleet.KindID{},
 		proxies: map[fleet.ProxyID]front.Proxy{}, module: logic.New(site, seed), plane: steer.New(site),
 		gather: reports.New(site), streams: map[fleet.ProxyID]uint64{}, unreached: map[fleet.ProxyID]string{}, started: -1,
-		entries: map[fleet.ServerID]fleet.Entry{}, docs: map[string]list.Server{}}
+		guard: guard.New(site), broken: map[string]bool{}, forces: map[string]force{}, entries: map[fleet.ServerID]fleet.Entry{}, docs: map[string]list.Server{}}
 	for i, z := range site.Zones {
 		c.zones[z] = fleet.ZoneID(i)
 	}
@@ -98,6 +104,35 @@
 	return c
 }
 
+// Guarded has every message judged from here on.
+func (c *Core) Guarded() {
+	c.guarded = true
+	c.plane.Ask(c.guard)
+}
+
+// Break breaks the governor on purpose, for drills: "cold-unbound" takes the bound off cold servers' lines.
+func (c *Core) Break(fault string) { c.broken[fault] = true }
+
+// unbound gives cold servers full lines, as a module without its bound on them would.
+func (c *Core) unbound(now fleet.Time, orders []fleet.Order) []fleet.Order {
+	tables := map[fleet.TableID]float32{}
+	for _, l := range c.plane.Tables() {
+		tables[l.Table] = max(tables[l.Table], float32(l.Weight))
+	}
+	for i, o := range orders {
+		if s, ok := o.(fleet.Share); ok && c.isCold(now, s.Server) {
+			s.Weight = max(tables[s.Table], 1) * 8
+			orders[i] = s
+		}
+	}
+	return orders
+}
+
+func (c *Core) isCold(now fleet.Time, id fleet.ServerID) bool {
+	e := c.entries[id]
+	return e.Started > 0 && now < e.Started+c.site.ColdFor
+}
+
 // Turn takes in what came and gives what is to be done now.
 func (c *Core) Turn(now fleet.Time, inputs []Input) Output {
 	if c.started < 0 {
@@ -115,6 +150,9 @@
 	c.events = append(c.events, told...)
 	c.due(now)
 	if len(c.events) > 0 || c.steps == 0 && c.site.ListOnRequest { // with a list that comes by itself, first hear it
+		for _, e := range c.events {
+			c.guard.Hear(now, e)
+		}
 		orders := c.module.Step(now, c.events)
 		c.steps++
 		out.Stepped, out.Events, out.Orders = true, c.events, orders
@@ -127,6 +165,11 @@
 		}
 	}
 	for _, a := range c.plane.Alarms() {
+		if a.Refused != nil {
+			name, _ := c.names.Of(a.Refused.Server)
+			c.log(&out, Line{now, "warn", "guard", "held back: " + guard.Say(*a.Refused, name)})
+			continue
+		}
 		c.log(&out, Line{now, "warn", "channel", fmt.Sprintf("proxy %s: %s", c.proxies[a.Proxy].Name, a.Text)})
 	}
 	asks, next := c.gather.Polls(now)
@@ -318,6 +361,9 @@
 		}
 		c.orders = append(c.orders[max(0, len(c.orders)+1-ordersKept):], Line{At: now, Text: c.say(o)})
 	}
+	if c.broken["cold-unbound"] {
+		orders = c.unbound(now, slices.Clone(orders))
+	}
 	c.plane.Order(now, orders)
 }
 
--- a/governor/operators.go
+++ b/governor/operators.go
@@ -115,6 +115,9 @@
 		{[]string{"show", "log"}, "the latest log lines, oldest first", (*Operators).showLog},
 		{[]string{"explain"}, "<server>: its weights and the reasons that were logged", (*Operators).explain},
 		{[]string{"get", "weight"}, "<server>: its weight in each table", (*Operators).getWeight},
+		{[]string{"show", "refusals"}, "what the guard holds back now, and what is set by hand", (*Operators).showRefusals},
+		{[]string{"set", "weight"}, "<table>/<server> <0-256>: set a line by hand for 5 minutes", (*Operators).setWeight},
+		{[]string{"clear", "weight"}, "<table>/<server>: let the module's weight count again", (*Operators).clearWeight},
 		{[]string{"help"}, "this list", func(o *Operators, c *Core, _ []string) string { return helpText() }},
 	}
 }
@@ -149,6 +152,7 @@
 	lines, messages, changes, folded := c.plane.Counters()
 	took, turns := o.loop.Took(50, 99, 100)
 	now := o.loop.now()
+	passed, stopped := c.guard.Counts()
 	var b strings.Builder
 	for _, p := range [][2]any{{"Name", "cressknot"}, {"Version", o.version}, {"Pid", os.Getpid()},
 		{"Uptime_sec", int64((now - c.started) / fleet.Second)}, {"Servers", len(c.entries)}, {"List_rev", c.rev},
@@ -156,7 +160,7 @@
 		{"Proxies_all", len(c.proxies)}, {"Turns", turns}, {"Steps", c.steps}, {"Turn_p50_us", took[0] / 1000},
 		{"Turn_p99_us", took[1] / 1000}, {"Turn_most_us", took[2] / 1000}, {"Lines_waiting", int64(c.plane.Lines())},
 		{"Lines_sent", lines}, {"Messages_sent", messages}, {"Changes_sent", changes}, {"Lines_replaced", folded},
-		{"Reports_waiting", c.gather.Waiting()}, {"Counter_resets", c.gather.Resets()}, {"Readings_folded", o.loop.Folded()}} {
+		{"Reports_waiting", c.gather.Waiting()}, {"Guard_passed", passed}, {"Guard_stopped", stopped}, {"Counter_resets", c.gather.Resets()}, {"Readings_folded", o.loop.Folded()}} {
 		fmt.Fprintf(&b, "%s: %v\n", p[0], p[1])
 	}
 	return b.String()
--- /dev/null
+++ b/guard/guard.go
@@ -0,0 +1,505 @@
+// Package guard judges every message before it leaves for a proxy: it holds back or lowers what would leave a class
+// without a ready server, push a cold server over, bring a draining or gone server back, or let an effect happen
+// twice. It is pure: it hears the events that the module hears, and is asked by package steer. It also judges tables
+// that staff push or ask about. docs/design/guard.md defines each harm and which rule goes before which.
+package guard
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+
+	"cressknot/fleet"
+	"cressknot/steer"
+)
+
+const (
+	trustFull   = 5 * fleet.Second  // a measured capacity counts as it is for so long: two intervals and a turn of reports
+	trustGone   = 60 * fleet.Second // and not at all after so long: from then only what the server was seen to carry
+	lookBack    = 10 * fleet.Second // reports of so long make a capacity: some 30 tries at a few a second
+	chance      = 2.0               // standard deviations of visits in a span that are allowed for
+	slackVisits = 2.0               // visits that a span may have more: single ones are large for a small server
+	busyLeast   = 0.05              // a busy share under this tells nothing of capacity
+	quarter     = 0.25              // of warm servers have less than what a cold one is taken to reach
+	usageKept   = 3                 // reports of a proxy's visits that count; the largest does
+	stall       = 2 * fleet.Second  // a proxy may stand still for so long between two tries
+	overload    = 1.0               // part of their capacity that servers of a table may be asked for
+	samplesKept = 64                // of a server: over lookBack at several zones and reports a second
+	none        = 1e-9
+)
+
+// Reasons, as staff see them.
+const (
+	WhyGone     = "its server is draining or gone"
+	WhyBare     = "the class would have no ready server"
+	WhyCold     = "a cold server would get more than it can bear"
+	WhyTwice    = "a visit could run twice"
+	WhyOverload = "the other servers could not carry it"
+)
+
+type sample struct {
+	at, span fleet.Time
+	zone     fleet.ZoneID
+	good     float64
+	busy     float64 // negative: not told
+}
+
+type server struct {
+	fleet.Entry
+	samples  []sample
+	capacity float64                   // visits a second of ours at a busy share of 1, as last measured
+	carried  float64                   // visits a second of ours that it was seen to handle when that was measured
+	at       fleet.Time                // of that
+	loads    map[fleet.ProxyID]float64 // while cold: the most that each proxy may send, visits a second
+}
+
+type proxy struct {
+	usual float64
+	usage [][]float64 // by class: the latest rates
+}
+
+// Guard is one governor's.
+type Guard struct {
+	site    fleet.Site
+	servers map[fleet.ServerID]*server
+	proxies map[fleet.ProxyID]*proxy
+	busyAt  int
+	ready   int // servers listed as ready
+	passed  uint64
+	stopped uint64
+}
+
+var _ steer.Judge = (*Guard)(nil)
+
+// New makes a guard that knows nothing yet.
+func New(site fleet.Site) *Guard {
+	return &Guard{site: site, servers: map[fleet.ServerID]*server{}, proxies: map[fleet.ProxyID]*proxy{},
+		busyAt: slices.Index(site.LoadFields, fleet.FieldBusy)}
+}
+
+// Hear takes in what the module hears.
+func (g *Guard) Hear(now fleet.Time, event fleet.Event) {
+	switch e := event.(type) {
+	case fleet.List:
+		g.list(e)
+	case fleet.Joined:
+		g.proxies[e.Proxy] = &proxy{usual: e.Weight, usage: make([][]float64, len(g.site.Classes))}
+	case fleet.Usage:
+		if p := g.proxies[e.Proxy]; p != nil && int(e.Class) < len(p.usage) && e.Span > 0 {
+			u := p.usage[e.Class]
+			p.usage[e.Class] = append(u[max(0, len(u)+1-usageKept):], float64(e.Visits)/e.Span.Seconds())
+		}
+	case fleet.Heard:
+		if s := g.servers[e.Server]; s != nil && e.Tries >= e.Failed {
+			busy := -1.0
+			if g.busyAt >= 0 && g.busyAt < len(e.Load) {
+				busy = float64(e.Load[g.busyAt])
+			}
+			s.samples = append(s.samples[max(0, len(s.samples)+1-samplesKept):],
+				sample{now, e.Span, e.Zone, float64(e.Tries - e.Failed), busy})
+			g.measure(now, s)
+		}
+	}
+}
+
+func (g *Guard) list(l fleet.List) {
+	if l.Scope == fleet.ListFailed {
+		return
+	}
+	listed := map[fleet.ServerID]bool{}
+	for _, e := range l.Entries {
+		s := g.servers[e.Server]
+		if s == nil {
+			s = &server{}
+			g.servers[e.Server] = s
+		}
+		if listed[e.Server] = true; e.Started != s.Started { // started anew, perhaps while it was still warming
+			s.samples, s.loads = nil, nil
+		}
+		s.Entry = e
+	}
+	g.ready = 0
+	for id, s := range g.servers {
+		if l.Scope != fleet.ListDelta && !listed[id] {
+			s.State = fleet.Gone
+		}
+		if s.State == fleet.Ready {
+			g.ready++
+		}
+	}
+}
+
+// measure works a server's capacity out from its latest reports: visits of ours that it handled over its busy share.
+// What it handled is what it can at least.
+func (g *Guard) measure(now fleet.Time, s *server) {
+	if g.cold(now, s) {
+		return // that is what it can while cold
+	}
+	good, span := map[fleet.ZoneID]float64{}, map[fleet.ZoneID]float64{}
+	busy, told := 0.0, 0.0
+	for _, m := range s.samples {
+		if m.at < now-lookBack {
+			continue
+		}
+		good[m.zone] += m.good
+		span[m.zone] += m.span.Seconds()
+		if m.busy >= 0 {
+			busy, told = busy+m.busy, told+1
+		}
+	}
+	carried := 0.0
+	for zone, n := range good { // the sum of floats in any order differs in its last bits only
+		carried += n / max(none, span[zone])
+	}
+	s.carried, s.capacity, s.at = carried, carried, now
+	if told > 0 {
+		s.capacity = max(carried, carried/max(busyLeast, busy/told))
+	}
+}
+
+func (g *Guard) cold(now fleet.Time, s *server) bool {
+	return s.Started > 0 && now < s.Started+g.site.ColdFor
+}
+
+// trust tells how much a measured capacity counts at its age. A clock that went back makes nothing younger than new.
+func trust(age fleet.Time) float64 {
+	return max(0, min(1, float64(trustGone-age)/float64(trustGone-trustFull)))
+}
+
+// can gives the capacity that a warm server surely has: what was measured while that is fresh, then, falling with its
+// age, no more than what it was seen to carry. Known: it was ever heard of.
+func (s *server) can(now fleet.Time) (capacity float64, known bool) {
+	return s.carried + (s.capacity-s.carried)*trust(max(0, now-s.at)), s.at > 0
+}
+
+// coldCan gives the visits a second that a cold server surely can when warm: the low quartile of what warm ones of its
+// kind can, of all where its kind is not known, and an even share of what usually comes where nothing is.
+func (g *Guard) coldCan(now fleet.Time, of *server) float64 {
+	var same, all []float64
+	for _, s := range g.servers {
+		if c, known := s.can(now); known && s.State == fleet.Ready && !g.cold(now, s) {
+			if all = append(all, c); s.Kind == of.Kind {
+				same = append(same, c)
+			}
+		}
+	}
+	if len(same) > 0 {
+		all = same
+	}
+	if len(all) > 0 {
+		slices.Sort(all)
+		return all[int(quarter*float64(len(all)))]
+	}
+	usual := 0.0
+	for _, p := range g.proxies {
+		usual += p.usual
+	}
+	return usual / float64(max(1, g.ready))
+}
+
+// Bearable gives the visits a second of ours that a cold server bears: so many that within any span that counts, chance
+// included, they stay under the stated multiple of what it can now.
+func (g *Guard) Bearable(now fleet.Time, id fleet.ServerID) float64 {
+	s := g.servers[id]
+	if s == nil || !g.cold(now, s) {
+		return math.Inf(1)
+	}
+	grown := max(0, min(1, (now-s.Started).Seconds()/max(none, g.site.ColdFor.Seconds())))
+	part := g.site.ColdFrom + (1-g.site.ColdFrom)*grown
+	span := max(none, g.site.FallFor.Seconds())
+	budget := g.site.FallFactor * part * g.coldCan(now, s) * span
+	return bearable(budget, span)
+}
+
+// bearable solves n + chance x root n = budget + slack for the visits n of a span.
+func bearable(budget, span float64) float64 {
+	root := math.Sqrt(chance*chance/4+budget+slackVisits) - chance/2
+	return root * root / span
+}
+
+// Demand gives the visits a second of a class that may come to a proxy: the most of its latest reports, or an even
+// part of what is usual.
+func (g *Guard) Demand(id fleet.ProxyID, class fleet.ClassID) float64 {
+	p := g.proxies[id]
+	if p == nil {
+		return 0
+	}
+	if u := p.usage[class]; len(u) > 0 {
+		return slices.Max(u)
+	}
+	return p.usual / float64(len(p.usage))
+}
+
+// RetryMost gives the most that a class's visits may be tried again without an effect happening twice.
+func (g *Guard) RetryMost(class fleet.ClassID) fleet.Retry {
+	c := g.site.Classes[class]
+	switch {
+	case c.Effect == fleet.Safe:
+		return fleet.RetryTwice
+	case c.Effect == fleet.Unsafe, c.Group == fleet.GroupCell, c.Group == fleet.GroupZone && !c.StaysLocal:
+		return fleet.RetryIfNeverRan
+	}
+	again := c.Expected.Scale(g.site.PerTry) + stall // a further try begins this long after the first at most
+	switch {
+	case 2*again < c.Window:
+		return fleet.RetryTwice
+	case again < c.Window:
+		return fleet.RetryOnce
+	}
+	return fleet.RetryIfNeverRan
+}
+
+// Counts tells how many proposals passed and how many were held back or lowered.
+func (g *Guard) Counts() (passed, stopped uint64) { return g.passed, g.stopped }
+
+// Left keeps what the proxy may go on sending: it is counted until the cold servers are warm.
+func (g *Guard) Left(id fleet.ProxyID) {}
+
+// Joined takes in what a proxy holds.
+func (g *Guard) Joined(now fleet.Time, d *steer.Draft) { g.commit(now, d, nil, true) }
+
+// Answered takes in that a proxy holds what it was sent, and nothing else any more.
+func (g *Guard) Answered(now fleet.Time, d *steer.Draft) { g.commit(now, d, nil, true) }
+
+// line is a cold line as it will be after a message.
+type line struct {
+	steer.ColdLine
+	weight   int // after
+	proposal int // its place among the proposals, -1: it is not among them
+}
+
+// commit notes what a proxy may send to each cold server: the most of what it held and will hold. Afresh: nothing of
+// before counts any more.
+func (g *Guard) commit(now fleet.Time, d *steer.Draft, after map[fleet.ServerID]float64, afresh bool) {
+	loads := g.loads(d, coldLines(d, false), d.Sum)
+	for id, load := range after {
+		loads[id] = max(loads[id], load)
+	}
+	if afresh {
+		for _, s := range g.servers {
+			delete(s.loads, d.Proxy)
+		}
+	}
+	for id, load := range loads {
+		s := g.servers[id]
+		if s == nil {
+			continue
+		}
+		if s.loads == nil {
+			s.loads = map[fleet.ProxyID]float64{}
+		}
+		s.loads[d.Proxy] = max(s.loads[d.Proxy], load)
+	}
+}
+
+// coldLines gives the cold lines of a draft as they are before it or will be after it.
+func coldLines(d *steer.Draft, after bool) []line {
+	var lines []line
+	for _, c := range d.Cold {
+		lines = append(lines, line{c, int(c.Cell.Weight), -1})
+	}
+	if !after {
+		return lines
+	}
+	for i := range d.Proposals {
+		p := &d.Proposals[i]
+		if !p.Cold || !p.Ready || p.Kind == steer.SetLevels {
+			continue
+		}
+		weight := 0
+		if cell := p.Want; p.Hold != "" {
+			cell = p.Have
+			if cell.Usable() {
+				weight = int(cell.Weight)
+			}
+		} else if cell.Usable() {
+			weight = int(cell.Weight)
+		}
+		at := slices.IndexFunc(lines, func(l line) bool { return l.Server == p.Server && l.Class == p.Class })
+		if at < 0 {
+			lines = append(lines, line{steer.ColdLine{Class: p.Class, Server: p.Server, Cell: p.Want}, 0, i})
+			at = len(lines) - 1
+		}
+		lines[at].weight, lines[at].proposal = weight, i
+	}
+	return lines
+}
+
+// loads gives the visits a second that a proxy's cold lines bring to each server.
+func (g *Guard) loads(d *steer.Draft, lines []line, sums []int) map[fleet.ServerID]float64 {
+	loads := map[fleet.ServerID]float64{}
+	for _, l := range lines {
+		if l.weight > 0 {
+			loads[l.Server] += g.Demand(d.Proxy, l.Class) * float64(l.weight) / float64(max(1, sums[l.Class]))
+		}
+	}
+	return loads
+}
+
+// Message judges one message. The order in which rules go: drains bind even where the last server goes; then nobody
+// bare; then cold.
+func (g *Guard) Message(now fleet.Time, d *steer.Draft) {
+	for i := range d.Proposals {
+		p := &d.Proposals[i]
+		switch {
+		case p.Kind == steer.SetLevels:
+			if most := g.RetryMost(p.Class); p.Level.Retry > most {
+				p.Level.Retry, p.Lowered = most, WhyTwice
+			}
+		case !p.Ready && p.Want.Usable() && !p.Have.Usable() && g.binds(p.Server):
+			p.Hold = WhyGone
+		}
+	}
+	g.bare(d)
+	g.crowd(now, d)
+	for i := range d.Proposals {
+		if d.Proposals[i].Hold != "" || d.Proposals[i].Lowered != "" {
+			g.stopped++
+		} else {
+			g.passed++
+		}
+	}
+}
+
+// binds tells whether nothing may be sent to a server that is not ready.
+func (g *Guard) binds(id fleet.ServerID) bool {
+	s := g.servers[id]
+	return s != nil && (s.State == fleet.Draining || s.State == fleet.Gone && !g.site.GoneDoesNot)
+}
+
+// bare holds back what would take a class's last line of a ready server: of the lines that the message takes, the one
+// with the largest weight stays, a warm one before a cold one.
+func (g *Guard) bare(d *steer.Draft) {
+	for c := range d.Lines {
+		left, keep := d.Lines[c], -1
+		if left == 0 {
+			continue // it is bare already, by nobody's order of now
+		}
+		for i := range d.Proposals {
+			p := &d.Proposals[i]
+			if int(p.Class) != c || p.Kind == steer.SetLevels {
+				continue
+			}
+			gives := p.Gives()
+			if left += gives; gives >= 0 {
+				continue
+			}
+			if keep < 0 || d.Proposals[keep].Cold && !p.Cold ||
+				d.Proposals[keep].Cold == p.Cold && p.Have.Weight > d.Proposals[keep].Have.Weight {
+				keep = i
+			}
+		}
+		if left <= 0 && keep >= 0 {
+			d.Proposals[keep].Hold = WhyBare
+		}
+	}
+}
+
+// crowd lowers lines of cold servers until each bears what all proxies may send it: this one after the message, the
+// others as much as they hold or as is on its way to them, whichever is more.
+func (g *Guard) crowd(now fleet.Time, d *steer.Draft) {
+	lines := coldLines(d, true)
+	if len(lines) == 0 {
+		return
+	}
+	lowered := map[int]bool{}
+	var loads map[fleet.ServerID]float64
+	for range len(lines) + 1 {
+		sums := g.sumsAfter(d, lines)
+		loads = g.loads(d, lines, sums)
+		worst, over := fleet.ServerID(0), 0.0
+		room := 0.0
+		for _, l := range lines { // in their order, so that the same draft is judged the same each time
+			load := loads[l.Server]
+			free := max(0, g.Bearable(now, l.Server)-g.others(l.Server, d.Proxy))
+			if excess := load - free; excess > none && excess > over && !lowered[int(l.Server)] {
+				worst, over, room = l.Server, excess, free
+			}
+		}
+		if over == 0 {
+			break
+		}
+		lowered[int(worst)] = true
+		part := room / loads[worst]
+		for i := range lines {
+			if l := &lines[i]; l.Server == worst && l.weight > 0 {
+				g.lower(d, l, lines, sums, part)
+			}
+		}
+	}
+	g.commit(now, d, loads, d.Alone)
+}
+
+// others gives what the other proxies may send to a server.
+func (g *Guard) others(id fleet.ServerID, but fleet.ProxyID) (sum float64) {
+	s := g.servers[id]
+	if s == nil {
+		return 0
+	}
+	ids := make([]fleet.ProxyID, 0, len(s.loads))
+	for p := range s.loads {
+		if p != but {
+			ids = append(ids, p)
+		}
+	}
+	slices.Sort(ids) // sums of floats in one order: the same calls give the same orders
+	for _, p := range ids {
+		sum += s.loads[p]
+	}
+	return sum
+}
+
+// sumsAfter gives the weights of each class's usable lines of ready servers after the message.
+func (g *Guard) sumsAfter(d *steer.Draft, lines []line) []int {
+	sums := slices.Clone(d.Sum)
+	for i := range d.Proposals {
+		if p := &d.Proposals[i]; !p.Cold {
+			sums[p.Class] += p.Adds()
+		}
+	}
+	for _, l := range lines {
+		sums[l.Class] += l.weight
+	}
+	for _, c := range d.Cold {
+		sums[c.Class] -= int(c.Cell.Weight)
+	}
+	return sums
+}
+
+// lower gives a cold line so little that its share is no more than a part of what it would be, whatever becomes of other
+// cold lines. Where a class has cold lines only it keeps one unit: nobody bare goes before cold.
+func (g *Guard) lower(d *steer.Draft, l *line, lines []line, sums []int, part float64) {
+	warm := sums[l.Class]
+	for _, o := range lines {
+		if o.Class == l.Class {
+			warm -= o.weight
+		}
+	}
+	share := part * float64(l.weight) / float64(max(1, sums[l.Class]))
+	weight := int(share / max(none, 1-share) * float64(warm))
+	if warm == 0 {
+		weight = 1
+	}
+	if weight >= l.weight {
+		return
+	}
+	switch p := l.proposal; {
+	case p < 0:
+		d.Cut(l.ColdLine, int16(weight), WhyCold)
+		l.proposal = len(d.Proposals) - 1
+	case weight == 0 && !d.Proposals[p].Have.Usable():
+		d.Proposals[p].Hold = WhyCold
+	default:
+		d.Proposals[p].Lower(int16(weight), WhyCold)
+	}
+	l.weight = weight
+}
+
+// Say tells a refusal in words.
+func Say(r steer.Refusal, server string) string {
+	if r.Level {
+		return fmt.Sprintf("class %d: further tries: %s", r.Class, r.Why)
+	}
+	return fmt.Sprintf("server %s: %s", cmp.Or(server, fmt.Sprint(r.Server)), r.Why)
+}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -53,6 +53,15 @@
 	proxies := s.Fleet()
 	site := s.Site()
 	core := governor.NewCore(site, s.Seed, proxies, names)
+	if s.Guard {
+		core.Guarded()
+	} else {
+		log.Warn().Msg("goes without its guard: for drills only")
+	}
+	for _, f := range s.Faults {
+		log.Warn().Str("fault", f).Msg("broken on purpose: for drills only")
+		core.Break(f)
+	}
 	carrier := frontOf(s, site, proxies, names)
 	parts := governor.Parts{Core: core, Names: names, Front: carrier, Source: sourceOf(s), Log: log,
 		Cache: s.List.Cache, ProbePath: s.Reports.ProbePath}
--- a/steer/channel.go
+++ b/steer/channel.go
@@ -375,6 +375,7 @@
 		return
 	}
 	p.swept = now
+	p.expire(now)
 	for i := range p.servers {
 		s := &p.servers[i]
 		if s.gone == 0 || !s.withdrawn || now < s.gone+forgetGone {
--- /dev/null
+++ b/steer/push.go
@@ -0,0 +1,82 @@
+package steer
+
+import (
+	"cmp"
+	"slices"
+
+	"cressknot/fleet"
+)
+
+// push names a line of a table that staff have set.
+type push struct {
+	table  fleet.TableID
+	server int32
+}
+
+type pushed struct {
+	weight int16
+	until  fleet.Time
+}
+
+// Pushed is a weight that staff have set in place of the module's.
+type Pushed struct {
+	Table  fleet.TableID
+	Server fleet.ServerID
+	Weight int16
+	Until  fleet.Time
+}
+
+// Push sets a line of a table by hand until a time: 0 to 256, in place of what the module wants. What a judge holds back
+// it holds back all the same.
+func (p *Plane) Push(now fleet.Time, table fleet.TableID, server fleet.ServerID, weight int16, until fleet.Time) {
+	i := p.server(server)
+	p.pushes[push{table, i}] = pushed{max(0, min(weightMost, weight)), until}
+	p.repush(now, table, i)
+}
+
+// Unpush lets the module's weight count again.
+func (p *Plane) Unpush(now fleet.Time, table fleet.TableID, server fleet.ServerID) bool {
+	i := p.server(server)
+	_, was := p.pushes[push{table, i}]
+	delete(p.pushes, push{table, i})
+	p.repush(now, table, i)
+	return was
+}
+
+// repush sends a line of a table to all that use it.
+func (p *Plane) repush(now fleet.Time, table fleet.TableID, i int32) {
+	p.users(table, func(x *proxy) {
+		p.touch(x, key{server: i}, false)
+		p.send(now, x, 1, nil)
+	})
+}
+
+// expire ends pushes whose time is over.
+func (p *Plane) expire(now fleet.Time) {
+	for _, o := range p.Pushes() {
+		if now >= o.Until {
+			p.Unpush(now, o.Table, o.Server)
+		}
+	}
+}
+
+// Pushes gives what staff have set, by table and server.
+func (p *Plane) Pushes() []Pushed {
+	var all []Pushed
+	for at, o := range p.pushes {
+		all = append(all, Pushed{at.table, p.servers[at.server].id, o.weight, o.until})
+	}
+	slices.SortFunc(all, func(a, b Pushed) int { return cmp.Or(cmp.Compare(a.Table, b.Table), cmp.Compare(a.Server, b.Server)) })
+	return all
+}
+
+// Users gives the proxies and classes that go by a table.
+func (p *Plane) Users(table fleet.TableID, each func(fleet.ProxyID, fleet.ClassID)) {
+	for _, x := range p.order {
+		for c, on := range x.on {
+			if x.bound[c] && on == table {
+				each(x.id, fleet.ClassID(c))
+			}
+		}
+	}
+}
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -156,6 +156,7 @@
 	coldOnes  []int32
 	heardList bool
 	refused   map[refusalOf]*Refusal
+	pushes    map[push]pushed
 	deferrals uint64
 	swept     fleet.Time
 }
@@ -240,7 +241,7 @@
 
 // New makes an empty plane.
 func New(site fleet.Site) *Plane {
-	return &Plane{site: site, index: map[fleet.ServerID]int32{}, tables: map[fleet.TableID]*table{}, refused: map[refusalOf]*Refusal{},
+	return &Plane{site: site, index: map[fleet.ServerID]int32{}, tables: map[fleet.TableID]*table{}, refused: map[refusalOf]*Refusal{}, pushes: map[push]pushed{},
 		every: make([]level, len(site.Classes)), proxies: map[fleet.ProxyID]*proxy{}, paced: -1}
 }
 
@@ -584,6 +585,9 @@
 	}
 	t := p.tables[x.on[c]]
 	want := Cell{State: p.stateOf(s), Weight: Round(t.weights[i], t.scale)}
+	if o, pushed := p.pushes[push{x.on[c], i}]; pushed {
+		want.Weight = o.weight
+	}
 	if want.Present = want.Weight > 0 || x.sent[at].Present; !want.Present {
 		return Cell{}
 	}
