--- a/governor/core.go
+++ b/governor/core.go
@@ -151,7 +151,9 @@
 	c.due(now)
 	if len(c.events) > 0 || c.steps == 0 && c.site.ListOnRequest { // with a list that comes by itself, first hear it
 		for _, e := range c.events {
-			c.guard.Hear(now, e)
+			if _, list := e.(fleet.List); !list {
+				c.guard.Hear(now, e)
+			}
 		}
 		orders := c.module.Step(now, c.events)
 		c.steps++
@@ -305,6 +307,7 @@
 		l.Entries = append(l.Entries, e)
 	}
 	c.rev, c.listed = u.Doc.Rev, now
+	c.guard.Hear(now, l) // before the plane asks it what the list makes of lines that stand
 	c.plane.List(now, l)
 	c.events = append(c.events, l)
 	if u.Scope != fleet.ListCached {
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -26,6 +26,7 @@
 	stall       = 2 * fleet.Second  // a proxy may stand still for so long between two tries
 	overload    = 1.0               // part of their capacity that servers of a table may be asked for
 	samplesKept = 64                // of a server: over lookBack at several zones and reports a second
+	lowerTries  = 3                 // to lower a cold server's lines before what would raise them is held back
 	none        = 1e-9
 )
 
@@ -52,6 +53,9 @@
 	carried  float64                   // visits a second of ours that it was seen to handle when that was measured
 	at       fleet.Time                // of that
 	loads    map[fleet.ProxyID]float64 // while cold: the most that each proxy may send, visits a second
+	total    float64                   // of loads
+	bears    float64                   // as worked out at bearsAt
+	bearsAt  fleet.Time
 }
 
 type proxy struct {
@@ -65,7 +69,10 @@
 	servers map[fleet.ServerID]*server
 	proxies map[fleet.ProxyID]*proxy
 	busyAt  int
-	ready   int // servers listed as ready
+	ready   int                      // servers listed as ready
+	kinds   map[fleet.KindID]float64 // what a cold server of a kind is taken to reach, as worked out at kindsAt
+	kindsAt fleet.Time
+	sums    []int // kept for its room
 	passed  uint64
 	stopped uint64
 }
@@ -74,7 +81,7 @@
 
 // New makes a guard that knows nothing yet.
 func New(site fleet.Site) *Guard {
-	return &Guard{site: site, servers: map[fleet.ServerID]*server{}, proxies: map[fleet.ProxyID]*proxy{},
+	return &Guard{site: site, kindsAt: -1, servers: map[fleet.ServerID]*server{}, proxies: map[fleet.ProxyID]*proxy{},
 		busyAt: slices.Index(site.LoadFields, fleet.FieldBusy)}
 }
 
@@ -115,11 +122,11 @@
 			g.servers[e.Server] = s
 		}
 		if listed[e.Server] = true; e.Started != s.Started { // started anew, perhaps while it was still warming
-			s.samples, s.loads = nil, nil
+			s.samples, s.bearsAt = nil, 0 // what proxies may send it stands: they hold the same lines
 		}
 		s.Entry = e
 	}
-	g.ready = 0
+	g.ready, g.kindsAt = 0, -1
 	for id, s := range g.servers {
 		if l.Scope != fleet.ListDelta && !listed[id] {
 			s.State = fleet.Gone
@@ -153,6 +160,7 @@
 		carried += n / max(none, span[zone])
 	}
 	s.carried, s.capacity, s.at = carried, carried, now
+	g.kindsAt = -1
 	if told > 0 {
 		s.capacity = max(carried, carried/max(busyLeast, busy/told))
 	}
@@ -174,22 +182,30 @@
 }
 
 // coldCan gives the visits a second that a cold server surely can when warm: the low quartile of what warm ones of its
-// kind can, of all where its kind is not known, and an even share of what usually comes where nothing is.
+// kind can, of all where its kind is not known, and an even share of what usually comes where nothing is. It is worked
+// out once for each time.
 func (g *Guard) coldCan(now fleet.Time, of *server) float64 {
-	var same, all []float64
-	for _, s := range g.servers {
-		if c, known := s.can(now); known && s.State == fleet.Ready && !g.cold(now, s) {
-			if all = append(all, c); s.Kind == of.Kind {
-				same = append(same, c)
+	if g.kindsAt != now {
+		g.kindsAt, g.kinds = now, map[fleet.KindID]float64{}
+		same, all := map[fleet.KindID][]float64{}, []float64{}
+		for _, s := range g.servers {
+			if c, known := s.can(now); known && s.State == fleet.Ready && !g.cold(now, s) {
+				same[s.Kind], all = append(same[s.Kind], c), append(all, c)
 			}
 		}
+		g.kinds[anyKind] = -1
+		if len(all) > 0 {
+			g.kinds[anyKind] = lowQuartile(all)
+		}
+		for kind, of := range same {
+			g.kinds[kind] = lowQuartile(of)
+		}
 	}
-	if len(same) > 0 {
-		all = same
+	if c, known := g.kinds[of.Kind]; known {
+		return c
 	}
-	if len(all) > 0 {
-		slices.Sort(all)
-		return all[int(quarter*float64(len(all)))]
+	if c := g.kinds[anyKind]; c >= 0 {
+		return c
 	}
 	usual := 0.0
 	for _, p := range g.proxies {
@@ -198,6 +214,13 @@
 	return usual / float64(max(1, g.ready))
 }
 
+const anyKind fleet.KindID = math.MaxUint8 // no site has as many
+
+func lowQuartile(of []float64) float64 {
+	slices.Sort(of)
+	return of[int(quarter*float64(len(of)))]
+}
+
 // Bearable gives the visits a second of ours that a cold server bears: so many that within any span that counts, chance
 // included, they stay under the stated multiple of what it can now.
 func (g *Guard) Bearable(now fleet.Time, id fleet.ServerID) float64 {
@@ -205,11 +228,15 @@
 	if s == nil || !g.cold(now, s) {
 		return math.Inf(1)
 	}
+	if s.bearsAt == now && g.kindsAt == now {
+		return s.bears
+	}
 	grown := max(0, min(1, (now-s.Started).Seconds()/max(none, g.site.ColdFor.Seconds())))
 	part := g.site.ColdFrom + (1-g.site.ColdFrom)*grown
 	span := max(none, g.site.FallFor.Seconds())
 	budget := g.site.FallFactor * part * g.coldCan(now, s) * span
-	return bearable(budget, span)
+	s.bears, s.bearsAt = bearable(budget, span), now
+	return s.bears
 }
 
 // bearable solves n + chance x root n = budget + slack for the visits n of a span.
@@ -256,12 +283,6 @@
 // Left keeps what the proxy may go on sending: it is counted until the cold servers are warm.
 func (g *Guard) Left(id fleet.ProxyID) {}
 
-// Joined takes in what a proxy holds.
-func (g *Guard) Joined(now fleet.Time, d *steer.Draft) { g.commit(now, d, nil, true) }
-
-// Answered takes in that a proxy holds what it was sent, and nothing else any more.
-func (g *Guard) Answered(now fleet.Time, d *steer.Draft) { g.commit(now, d, nil, true) }
-
 // line is a cold line as it will be after a message.
 type line struct {
 	steer.ColdLine
@@ -269,18 +290,8 @@
 	proposal int // its place among the proposals, -1: it is not among them
 }
 
-// commit notes what a proxy may send to each cold server: the most of what it held and will hold. Afresh: nothing of
-// before counts any more.
-func (g *Guard) commit(now fleet.Time, d *steer.Draft, after map[fleet.ServerID]float64, afresh bool) {
-	loads := g.loads(d, coldLines(d, false), d.Sum)
-	for id, load := range after {
-		loads[id] = max(loads[id], load)
-	}
-	if afresh {
-		for _, s := range g.servers {
-			delete(s.loads, d.Proxy)
-		}
-	}
+// commit notes what a proxy may send to each cold server. Afresh: nothing of before counts any more.
+func (g *Guard) commit(d *steer.Draft, loads map[fleet.ServerID]float64, afresh bool) {
 	for id, load := range loads {
 		s := g.servers[id]
 		if s == nil {
@@ -289,10 +300,28 @@
 		if s.loads == nil {
 			s.loads = map[fleet.ProxyID]float64{}
 		}
-		s.loads[d.Proxy] = max(s.loads[d.Proxy], load)
+		if was := s.loads[d.Proxy]; afresh || load > was {
+			s.loads[d.Proxy], s.total = load, s.total+load-was
+		}
 	}
 }
 
+// Joined takes in what a proxy holds.
+func (g *Guard) Joined(now fleet.Time, d *steer.Draft) { g.Answered(now, d) }
+
+// Answered takes in that a proxy holds what it was sent, and, if nothing else is on its way, nothing else any more.
+func (g *Guard) Answered(now fleet.Time, d *steer.Draft) {
+	loads := g.loads(d, coldLines(d, false), d.Sum)
+	if d.Alone {
+		for id, s := range g.servers {
+			if _, was := s.loads[d.Proxy]; was {
+				loads[id] = max(loads[id], 0) // none, where it has no line any more
+			}
+		}
+	}
+	g.commit(d, loads, d.Alone)
+}
+
 // coldLines gives the cold lines of a draft as they are before it or will be after it.
 func coldLines(d *steer.Draft, after bool) []line {
 	var lines []line
@@ -396,58 +425,137 @@
 	}
 }
 
-// crowd lowers lines of cold servers until each bears what all proxies may send it: this one after the message, the
-// others as much as they hold or as is on its way to them, whichever is more.
+// crowd lowers lines of cold servers until each bears what all proxies may send it: this one at each moment while it
+// reads the message, the others as much as they hold or as is on its way to them, whichever is more. What lowering
+// does not mend is held back.
 func (g *Guard) crowd(now fleet.Time, d *steer.Draft) {
-	lines := coldLines(d, true)
-	if len(lines) == 0 {
+	if g.harmless(now, d) {
 		return
 	}
-	lowered := map[int]bool{}
-	var loads map[fleet.ServerID]float64
-	for range len(lines) + 1 {
-		sums := g.sumsAfter(d, lines)
-		loads = g.loads(d, lines, sums)
-		worst, over := fleet.ServerID(0), 0.0
-		room := 0.0
+	lines := coldLines(d, true)
+	tried := map[fleet.ServerID]int{}
+	before := g.loads(d, coldLines(d, false), d.Sum)
+	loads, cut := g.peaks(d)
+	for range lowerTries * (len(lines) + 1) {
+		worst, over, room := fleet.ServerID(0), 0.0, 0.0
 		for _, l := range lines { // in their order, so that the same draft is judged the same each time
-			load := loads[l.Server]
 			free := max(0, g.Bearable(now, l.Server)-g.others(l.Server, d.Proxy))
-			if excess := load - free; excess > none && excess > over && !lowered[int(l.Server)] {
+			load := loads[l.Server]
+			if before[l.Server] > free { // it began too high: what counts is what its cut leaves
+				load = cut[l.Server]
+				if s := g.servers[l.Server]; s != nil && s.total > 0 { // the others are cut as well: each keeps its part
+					free = max(free, min(1, before[l.Server]/s.total)*g.Bearable(now, l.Server))
+				}
+			}
+			if excess := load - free; excess > none*free+none && excess > over && tried[l.Server] <= lowerTries {
 				worst, over, room = l.Server, excess, free
 			}
 		}
 		if over == 0 {
 			break
 		}
-		lowered[int(worst)] = true
-		part := room / loads[worst]
+		tried[worst]++
+		part, sums := room/(room+over), g.sumsAfter(d, lines)
 		for i := range lines {
-			if l := &lines[i]; l.Server == worst && l.weight > 0 {
-				g.lower(d, l, lines, sums, part)
+			l := &lines[i]
+			if l.Server == worst && (tried[worst] >= lowerTries || l.weight > 0 && !g.lower(d, l, lines, sums, part)) {
+				g.revert(d, l.Class)
 			}
 		}
+		lines = coldLines(d, true)
+		loads, cut = g.peaks(d)
 	}
-	g.commit(now, d, loads, d.Alone)
+	g.commit(d, loads, d.Alone)
+}
+
+// harmless passes what is plainly so, at a cost of the proxy's cold lines only: nothing raises a cold line, and after the
+// message none brings its server more than there is room for. As Arrange keeps every share within what it was before
+// and will be after, nothing between is worse.
+func (g *Guard) harmless(now fleet.Time, d *steer.Draft) bool {
+	for i := range d.Proposals {
+		if p := &d.Proposals[i]; p.Cold && p.Ready && p.Kind != steer.SetLevels {
+			return false
+		}
+	}
+	if len(d.Cold) == 0 {
+		return true
+	}
+	g.sums = append(g.sums[:0], d.Sum...)
+	for i := range d.Proposals {
+		if p := &d.Proposals[i]; p.Kind != steer.SetLevels {
+			g.sums[p.Class] += p.Adds()
+		}
+	}
+	for i := 0; i < len(d.Cold); {
+		id, load := d.Cold[i].Server, 0.0
+		for ; i < len(d.Cold) && d.Cold[i].Server == id; i++ { // a server's lines stand together
+			l := &d.Cold[i]
+			load += g.Demand(d.Proxy, l.Class) * float64(l.Cell.Weight) / float64(max(1, g.sums[l.Class]))
+		}
+		s := g.servers[id]
+		if s == nil {
+			continue
+		}
+		if was := s.loads[d.Proxy]; load > was {
+			if load-was+s.total > g.Bearable(now, id) {
+				return false // the slow way tells
+			}
+			if s.loads == nil {
+				s.loads = map[fleet.ProxyID]float64{}
+			}
+			s.loads[d.Proxy], s.total = load, s.total+load-was
+		} else if s.total > g.Bearable(now, id) {
+			return false
+		}
+	}
+	return true
+}
+
+// peaks gives the most that a proxy's cold lines bring to each server at any moment while it reads a message, and the
+// most from the server's own last cut on.
+func (g *Guard) peaks(d *steer.Draft) (most, cut map[fleet.ServerID]float64) {
+	order := *d
+	order.Proposals = slices.Clone(d.Proposals)
+	steer.Arrange(&order)
+	lines, sums := coldLines(d, false), slices.Clone(d.Sum)
+	most, cut = g.loads(d, lines, sums), map[fleet.ServerID]float64{}
+	for i := range order.Proposals {
+		p := &order.Proposals[i]
+		adds := p.Adds()
+		if adds == 0 {
+			continue
+		}
+		sums[p.Class] += adds
+		if p.Cold {
+			at := slices.IndexFunc(lines, func(l line) bool { return l.Server == p.Server && l.Class == p.Class })
+			if at < 0 {
+				lines, at = append(lines, line{steer.ColdLine{Class: p.Class, Server: p.Server}, 0, -1}), len(lines)
+			}
+			lines[at].weight += adds
+		}
+		if next := i + 1; adds > 0 && !p.Cold && next < len(order.Proposals) && order.Proposals[next].Adds() > 0 && !order.Proposals[next].Cold {
+			continue // warm lines gain: shares of cold ones only fall
+		}
+		if p.Cold && adds < 0 {
+			cut[p.Server] = 0
+		}
+		for id, load := range g.loads(d, lines, sums) {
+			most[id], cut[id] = max(most[id], load), max(cut[id], load)
+		}
+	}
+	return most, cut
 }
 
 // others gives what the other proxies may send to a server.
-func (g *Guard) others(id fleet.ServerID, but fleet.ProxyID) (sum float64) {
+func (g *Guard) others(id fleet.ServerID, but fleet.ProxyID) float64 {
 	s := g.servers[id]
 	if s == nil {
 		return 0
 	}
-	ids := make([]fleet.ProxyID, 0, len(s.loads))
-	for p := range s.loads {
-		if p != but {
-			ids = append(ids, p)
-		}
-	}
-	slices.Sort(ids) // sums of floats in one order: the same calls give the same orders
-	for _, p := range ids {
-		sum += s.loads[p]
+	if len(s.loads) == 0 || len(s.loads) == 1 && s.loads[but] > 0 {
+		s.total = s.loads[but] // sums of floats drift: begin anew where that is plain
 	}
-	return sum
+	return max(0, s.total-s.loads[but])
 }
 
 // sumsAfter gives the weights of each class's usable lines of ready servers after the message.
@@ -468,21 +576,21 @@
 }
 
 // lower gives a cold line so little that its share is no more than a part of what it would be, whatever becomes of other
-// cold lines. Where a class has cold lines only it keeps one unit: nobody bare goes before cold.
-func (g *Guard) lower(d *steer.Draft, l *line, lines []line, sums []int, part float64) {
+// cold lines. It can't where the class would have cold lines only: those stand in for each other.
+func (g *Guard) lower(d *steer.Draft, l *line, lines []line, sums []int, part float64) bool {
 	warm := sums[l.Class]
 	for _, o := range lines {
 		if o.Class == l.Class {
 			warm -= o.weight
 		}
 	}
-	share := part * float64(l.weight) / float64(max(1, sums[l.Class]))
-	weight := int(share / max(none, 1-share) * float64(warm))
 	if warm == 0 {
-		weight = 1
+		return false
 	}
+	share := part * float64(l.weight) / float64(max(1, sums[l.Class]))
+	weight := int(share / max(none, 1-share) * float64(warm))
 	if weight >= l.weight {
-		return
+		return true
 	}
 	switch p := l.proposal; {
 	case p < 0:
@@ -494,6 +602,17 @@
 		d.Proposals[p].Lower(int16(weight), WhyCold)
 	}
 	l.weight = weight
+	return true
+}
+
+// revert holds back all that a message changes for a class's ready servers, so that what stood stays. Where nothing is
+// left to hold back the class has cold servers only, and nobody bare goes before cold.
+func (g *Guard) revert(d *steer.Draft, class fleet.ClassID) {
+	for i := range d.Proposals {
+		if p := &d.Proposals[i]; p.Class == class && p.Ready && p.Kind != steer.SetLevels && p.Hold == "" && p.Adds() != 0 {
+			p.Hold = WhyCold
+		}
+	}
 }
 
 // Say tells a refusal in words.
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -282,7 +282,7 @@
 	if l.Scope == fleet.ListFailed {
 		return
 	}
-	listed := map[int32]bool{}
+	listed, anew := map[int32]bool{}, false
 	if !p.heardList { // from here on those that are not listed don't count
 		for i := range p.servers {
 			p.recount(int32(i), -1)
@@ -295,6 +295,7 @@
 		listed[i] = true
 		changed := s.state != e.State && s.withdrawn
 		was := p.ready(i)
+		anew = anew || s.started != e.Started && p.judge != nil
 		s.state, s.started, s.listed = e.State, e.Started, true
 		if is := p.ready(i); is != was {
 			sign := 1
@@ -315,6 +316,13 @@
 			p.touchAll(i, true)
 		}
 	}
+	if anew { // proxies may hold lines of what is cold now
+		defer func() {
+			for _, x := range p.order {
+				p.judge.Answered(now, p.draft(now, x))
+			}
+		}()
+	}
 	if l.Scope == fleet.ListDelta {
 		return
 	}
