--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -30,7 +30,7 @@
 }
 
 func command() *cobra.Command {
-	var asJSON, quiet, records bool
+	var asJSON, quiet, records, noGuard bool
 	var keep, front string
 	var nodes, proxies, governors int
 	var visits float64
@@ -63,6 +63,7 @@
 			if front != "" {
 				day.Front = front
 			}
+			day.Guard = day.Guard && !noGuard
 			self, err := os.Executable()
 			if err != nil {
 				return err
@@ -98,6 +99,7 @@
 	f.BoolVar(&asJSON, "json", false, "print the report as JSON")
 	f.BoolVarP(&quiet, "quiet", "q", false, "no progress line")
 	f.BoolVar(&records, "records", false, "let governors record events and orders, for replay")
+	f.BoolVar(&noGuard, "no-guard", false, "governors go without their guard, to see what it keeps away")
 	f.StringVar(&keep, "keep", "", "folder that keeps settings, logs and records")
 	f.StringVar(&front, "front", "", "runtime or files, in place of the day's")
 	f.IntVar(&nodes, "nodes", 0, "nodes, in place of the day's")
--- a/internal/drill/day.cue
+++ b/internal/drill/day.cue
@@ -19,11 +19,12 @@
 	what: "crash" | "slow" | "hang" | "errors" | "pauses" | "neighbour" | "ageing" | "flapping" | "preempt" | "drain" |
 		"shared-slow" | "heavy-tail" | "answers-lost" | "class-fails" | "one-sided" | "slow-link" | "reports-late" |
 		"burst" | "hot-caller" | "proxy-restart" | "proxy-stall" | "governor-kill" | "governor-stall" | "list-down" |
-		"list-late" | "cut" | "slow-reader"
+		"list-late" | "cut" | "slow-reader" | "push"
 	part:  number & >=0 & <=1 | *0 // of the nodes, proxies or governors; 0: one of them
 	size:  number & >=0 | *0       // times slower, share that fails, times the visits
 	every: #Time | *"1s"           // pauses, flapping, stalls: between two
 	class: string | *""
+	push:  *"" | "empty" | "drained" | "crowd" // what staff push: all lines to 0, a drained node back, a cold one alone
 }
 
 #Day: {
@@ -37,6 +38,8 @@
 	visits:    number & >0 // a second, all proxies together
 	front:     *"runtime" | "files"
 	admission: *"all" | "share"
+	guard:     bool | *true
+	faults: [...string] | *[] // of the governors, as their settings have them
 	standing:  int & >=1 | *10 // servers in a proxy's own table
 	lineDelay: =~"^[0-9]+us$" | *"30us"
 	classes:   [#Class, ...#Class] | *[
--- a/internal/drill/day.go
+++ b/internal/drill/day.go
@@ -42,6 +42,7 @@
 	Size  float64 `json:"size"`
 	Every Span    `json:"every"`
 	Class string  `json:"class"`
+	Push  string  `json:"push"`
 }
 
 // Day is what a day file says; day.cue has the form.
@@ -56,6 +57,8 @@
 	Visits    float64  `json:"visits"`
 	Front     string   `json:"front"`
 	Admission string   `json:"admission"`
+	Guard     bool     `json:"guard"`
+	Faults    []string `json:"faults"`
 	Standing  int      `json:"standing"`
 	LineDelay Span     `json:"lineDelay"`
 	Classes   []struct {
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -259,6 +259,7 @@
 		"channel": map[string]any{"linesPerS": d.Channel.LinesPerS, "backlog": d.Channel.Backlog, "bare": span(d.Channel.Bare)},
 		"servers": map[string]any{"coldFrom": d.Servers.ColdFrom, "coldFor": span(d.Servers.ColdFor), "fallFactor": d.Servers.FallFactor,
 			"fallFor": span(d.Servers.FallFor), "drainGrace": span(d.Servers.Grace)},
+		"guard": d.Guard, "faults": d.Faults,
 		"operators": map[string]any{"socket": own.socket},
 		"log":       map[string]any{"file": own.log},
 	}
@@ -285,6 +286,7 @@
 	}
 	defer out.Close()
 	cmd.Stderr = out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // none outlives a drill that fails
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("%s: %w", g.name, err)
 	}
--- a/internal/drill/report.go
+++ b/internal/drill/report.go
@@ -17,14 +17,15 @@
 
 // Report is what a day came to.
 type Report struct {
-	Day       string          `json:"day"`
-	Length    float64         `json:"length_s"`
-	Rules     []rules.Verdict `json:"rules"`
-	Classes   []Class         `json:"classes"`
-	Weights   []Weights       `json:"weights"`
-	Governors []Governor      `json:"governors"`
-	Falls     Falls           `json:"falls"`
-	Troubles  []string        `json:"troubles,omitempty"` // of the drill itself: such a run counts for nothing
+	Day                        string          `json:"day"`
+	Length                     float64         `json:"length_s"`
+	Rules                      []rules.Verdict `json:"rules"`
+	Classes                    []Class         `json:"classes"`
+	Weights                    []Weights       `json:"weights"`
+	Governors                  []Governor      `json:"governors"`
+	Falls                      Falls           `json:"falls"`
+	PushesTaken, PushesRefused int             // weights that staff set by hand
+	Troubles                   []string        `json:"troubles,omitempty"` // of the drill itself: such a run counts for nothing
 }
 
 // Class is how a class fared.
@@ -182,6 +183,14 @@
 		fmt.Fprintf(out, "\nfrom a node's fall until a proxy had shut it out: p50 %.3f s, p99 %.3f s (from the list's word: p50 %.3f s, p99 %.3f s; %d pairs)\n",
 			quantile(r.Falls.FromFall, 0.5), quantile(r.Falls.FromFall, 0.99), quantile(r.Falls.FromTold, 0.5), quantile(r.Falls.FromTold, 0.99), n)
 	}
+	if r.PushesTaken+r.PushesRefused > 0 {
+		fmt.Fprintf(out, "\nweights set by hand: %d taken, %d refused\n", r.PushesTaken, r.PushesRefused)
+	}
+	for _, g := range r.Governors {
+		if g.Info["Guard_stopped"] != "" {
+			fmt.Fprintf(out, "guard of %s: %s proposals passed, %s held back or lowered\n", g.Name, g.Info["Guard_passed"], g.Info["Guard_stopped"])
+		}
+	}
 	for _, t := range r.Troubles {
 		fmt.Fprintf(out, "\nthe drill itself: %s", t)
 	}
--- a/internal/drill/troubles.go
+++ b/internal/drill/troubles.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -63,6 +64,7 @@
 	},
 	"cut":         (*play).cut,
 	"slow-reader": (*play).slowReader,
+	"push":        (*play).pushTables,
 }
 
 func or(size, otherwise float64) float64 {
@@ -419,3 +421,42 @@
 	}
 	wait(ctx, t.For)
 }
+
+// pushTables sets weights by hand through the operators' sockets, again and again, and counts what was refused.
+func (p *play) pushTables(ctx context.Context, t Trouble) {
+	for end := time.Now().Add(time.Duration(t.For)); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, 300*time.Millisecond) {
+		newest := slices.MaxFunc(p.nodes, func(a, b *standin.Node) int { return a.Started().Compare(b.Started()) })
+		isCold := time.Since(newest.Started()) < time.Duration(p.Day.Servers.ColdFor)
+		for _, g := range p.governors {
+			for _, n := range p.nodes {
+				weight := -1
+				switch state := p.lister.State(n.Name); {
+				case t.Push == "empty":
+					weight = 0
+				case t.Push == "drained" && state != "ready":
+					weight = 256
+				case t.Push == "crowd" && isCold && n == newest:
+					weight = 256
+				case t.Push == "crowd" && isCold:
+					weight = 0
+				}
+				if weight < 0 {
+					continue
+				}
+				answer, err := ask(g.socket, fmt.Sprintf("set weight 0/%s %d\n", n.Name, weight))
+				p.mu.Lock()
+				if err == nil && strings.HasPrefix(answer, "Refused") {
+					p.report.PushesRefused++
+				} else if err == nil {
+					p.report.PushesTaken++
+				}
+				p.mu.Unlock()
+			}
+		}
+	}
+	for _, g := range p.governors {
+		for _, n := range p.nodes {
+			_, _ = ask(g.socket, fmt.Sprintf("clear weight 0/%s\n", n.Name))
+		}
+	}
+}
--- a/internal/standin/lister.go
+++ b/internal/standin/lister.go
@@ -80,6 +80,17 @@
 	}
 }
 
+// State tells how a server is listed.
+func (s *Lister) State(name string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, listed := s.entries[name]
+	if !listed {
+		return "gone"
+	}
+	return e.State
+}
+
 // Fail takes the service down or up; Late delays what it hears.
 func (s *Lister) Fail(down bool) {
 	s.mu.Lock()
