--- a/cmd/cressknot/main.go
+++ b/cmd/cressknot/main.go
@@ -16,6 +16,7 @@
 	"github.com/spf13/cobra"
 
 	"cressknot/config"
+	"cressknot/guard"
 	"cressknot/records"
 	"cressknot/runtimeapi"
 	"cressknot/serve"
@@ -63,7 +64,7 @@
 		SilenceErrors: true, SilenceUsage: true, Version: serve.Version,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage{err} })
-	root.AddCommand(serveCommand(), checkCommand(), showCommand(), explainCommand(), replayCommand(),
+	root.AddCommand(serveCommand(), checkCommand(), showCommand(), explainCommand(), guardCommand(), replayCommand(),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: args(cobra.NoArgs),
 			Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), serve.Version) }})
 	return root
@@ -193,6 +194,44 @@
 	return err
 }
 
+func guardCommand() *cobra.Command {
+	c := &cobra.Command{Use: "guard", Short: "Ask the guard", Args: args(cobra.NoArgs)}
+	var table, state string
+	check := &cobra.Command{Use: "check --table FILE --state FILE", Short: "Judge a table against a state, offline",
+		Long: `Judge a table file against a state file and say in plain words who would be harmed. Exit code 1 when
+the table is harmful. docs/operate/guard.md has the files' form.`,
+		Args: args(cobra.NoArgs),
+		RunE: func(c *cobra.Command, _ []string) error {
+			if table == "" || state == "" {
+				return usage{errors.New("guard check needs --table FILE and --state FILE")}
+			}
+			tableText, err := os.ReadFile(table)
+			if err != nil {
+				return err
+			}
+			stateText, err := os.ReadFile(state)
+			if err != nil {
+				return err
+			}
+			harms, err := guard.Check(table, tableText, state, stateText)
+			if err != nil {
+				return err
+			}
+			for _, h := range harms {
+				fmt.Fprintln(c.OutOrStdout(), h)
+			}
+			if len(harms) > 0 {
+				return fmt.Errorf("%d harms", len(harms))
+			}
+			fmt.Fprintln(c.OutOrStdout(), "harmless")
+			return nil
+		}}
+	check.Flags().StringVar(&table, "table", "", "the table")
+	check.Flags().StringVar(&state, "state", "", "what it is judged against")
+	c.AddCommand(check)
+	return c
+}
+
 func replayCommand() *cobra.Command {
 	return &cobra.Command{Use: "replay RECORDS", Short: "Step the module through records and compare its orders",
 		Long: `Step the module through what a governor recorded ('records' in its settings). It must give the same
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"os"
 	"slices"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -533,6 +534,33 @@
 	}
 }
 
+// TestCheckFiles: a table judged offline, in words; bad files name the place.
+func TestCheckFiles(t *testing.T) {
+	state := `{"now": "2026-12-01T12:00:10Z", "demand": 40, "cold": {"from": 0.2, "for_s": 15, "fall_factor": 3, "fall_for_s": 2},
+		"servers": [{"name": "a", "capacity": 30}, {"name": "b", "capacity": 30, "state": "draining"},
+		{"name": "c", "started": "2026-12-01T12:00:08Z"}, {"name": "d", "capacity": 30}]}`
+	for table, want := range map[string]string{
+		`{"lines": [{"server": "a", "weight": 1}, {"server": "d", "weight": 1}]}`: "[]",
+		`{"lines": [{"server": "a", "weight": 1}, {"server": "b", "weight": 1}, {"server": "c", "weight": 5}]}`: "[server b: " + WhyGone +
+			": visits would go to a server that is draining, gone or not listed server c: " + WhyCold,
+		`{"lines": [{"server": "x", "weight": 0}]}`:  "[" + WhyBare,
+		`{"lines": [{"server": "a", "weight": -1}]}`: "t: lines[0].weight: -1 is negative",
+		`{"lines": [{"sever": "a"}]}`:                `t: byte 27: json: unknown field "sever"`,
+	} {
+		words, err := Check("t", []byte(table), "s", []byte(state))
+		got := fmt.Sprint(words)
+		if err != nil {
+			got = err.Error()
+		}
+		if !strings.HasPrefix(got, want) {
+			t.Errorf("%s: %s, want %s", table, got, want)
+		}
+	}
+	if _, err := Check("t", []byte("{}"), "s", []byte(`{"servers": [{"state": "up"}], "now": "2026-12-01T12:00:10Z"}`)); err == nil || !strings.Contains(err.Error(), "s: servers[0].state") {
+		t.Error(err)
+	}
+}
+
 func BenchmarkMessages(b *testing.B) { // a step's messages to 930 proxies, one line of three classes changed, some servers cold
 	for _, colds := range []int{0, 20, 200} {
 		b.Run(fmt.Sprint("cold=", colds), func(b *testing.B) {
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -76,6 +76,25 @@
 	}
 }
 
+// TestGuardKeepsHarmAway plays a day of harmful tables with the guard and without it.
+func TestGuardKeepsHarmAway(t *testing.T) {
+	for _, guarded := range []bool{true, false} {
+		t.Run(map[bool]string{true: "guarded", false: "unguarded"}[guarded], func(t *testing.T) {
+			t.Parallel()
+			r := playDay(t, "harm", func(o *Options) { o.Day.Guard = guarded })
+			breaks := 0
+			for _, v := range r.Rules {
+				breaks += len(v.Breaks)
+			}
+			if guarded && (breaks > 0 || r.PushesRefused == 0) || !guarded && breaks == 0 || len(r.Troubles) > 0 {
+				var b strings.Builder
+				r.Print(&b)
+				t.Error(b.String())
+			}
+		})
+	}
+}
+
 // TestBrokenGovernorsAreCaught: for each rule, a governor, or a fault at its front, that breaks it.
 func TestBrokenGovernorsAreCaught(t *testing.T) {
 	broken := map[string]func(*Options){
