Forget what proxies that are gone for long held of cold servers

A proxy that left goes on with what it holds and stays counted; one gone longer than a server is cold would have taken room from the others at every later start of that server.

--- a/governor/bench_test.go
+++ b/governor/bench_test.go
@@ -35,6 +35,7 @@
 				all = append(all, front.Proxy{ID: fleet.ProxyID(i), Name: fmt.Sprint("p", i), Zone: fleet.ZoneID(i % 4), Visits: 3})
 			}
 			core := NewCore(site, 1, all, names)
+			core.Guarded()
 			now := 1000 * fleet.Second
 			doc := list.Document{Rev: 1}
 			for i := range servers {
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -61,6 +61,7 @@
 type proxy struct {
 	usual float64
 	usage [][]float64 // by class: the latest rates
+	left  fleet.Time  // since when its stream is gone, 0: it stands
 }
 
 // Guard is one governor's.
@@ -89,9 +90,13 @@
 func (g *Guard) Hear(now fleet.Time, event fleet.Event) {
 	switch e := event.(type) {
 	case fleet.List:
-		g.list(e)
+		g.list(now, e)
 	case fleet.Joined:
 		g.proxies[e.Proxy] = &proxy{usual: e.Weight, usage: make([][]float64, len(g.site.Classes))}
+	case fleet.Left:
+		if p := g.proxies[e.Proxy]; p != nil {
+			p.left = now
+		}
 	case fleet.Usage:
 		if p := g.proxies[e.Proxy]; p != nil && int(e.Class) < len(p.usage) && e.Span > 0 {
 			u := p.usage[e.Class]
@@ -110,7 +115,7 @@
 	}
 }
 
-func (g *Guard) list(l fleet.List) {
+func (g *Guard) list(now fleet.Time, l fleet.List) {
 	if l.Scope == fleet.ListFailed {
 		return
 	}
@@ -123,6 +128,12 @@
 		}
 		if listed[e.Server] = true; e.Started != s.Started { // started anew, perhaps while it was still warming
 			s.samples, s.bearsAt = nil, 0 // what proxies may send it stands: they hold the same lines
+			for id, load := range s.loads { // but for those gone so long that they are another's, or none
+				if p := g.proxies[id]; p != nil && p.left > 0 && now > p.left+g.site.ColdFor {
+					delete(s.loads, id)
+					s.total -= load
+				}
+			}
 		}
 		s.Entry = e
 	}
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -490,6 +490,17 @@
 	if got := g.others(2, 9); math.Abs(got-5) > 1e-9 {
 		t.Errorf("%v counted, not 5", got)
 	}
+	g.Hear(now, fleet.Left{Proxy: 1})
+	again := func(at fleet.Time) {
+		g.Hear(at, fleet.List{Scope: fleet.ListDelta, Entries: []fleet.Entry{{Server: 2, Started: at}}})
+	}
+	if again(now + 5*fleet.Second); g.others(2, 9) == 0 {
+		t.Error("a proxy that just left goes on with what it holds, but is not counted")
+	}
+	if again(now + 11*fleet.Second); g.others(2, 9) != 0 {
+		t.Error("a proxy gone for long is counted")
+	}
+	g.Joined(now, d)
 	d.Cold, d.Sum = nil, []int{100, 100}
 	g.Answered(now, d)
 	if got := g.others(2, 9); got != 0 {
