--- a/guard/guard.go
+++ b/guard/guard.go
@@ -127,7 +127,7 @@
 			g.servers[e.Server] = s
 		}
 		if listed[e.Server] = true; e.Started != s.Started { // started anew, perhaps while it was still warming
-			s.samples, s.bearsAt = nil, 0 // what proxies may send it stands: they hold the same lines
+			s.samples, s.bearsAt = nil, 0   // what proxies may send it stands: they hold the same lines
 			for id, load := range s.loads { // but for those gone so long that they are another's, or none
 				if p := g.proxies[id]; p != nil && p.left > 0 && now > p.left+g.site.ColdFor {
 					delete(s.loads, id)
