--- a/front/files/front.go
+++ b/front/files/front.go
@@ -166,7 +166,9 @@
 	case AckFile:
 		events, err = o.acknowledged()
 	case StatFile:
-		o.heard = time.Now()
+		if o.heard = time.Now(); !o.up { // it lives; its acknowledgement may say by now what is in place
+			events, err = o.acknowledged()
+		}
 		if o.up && o.polling {
 			o.polling = false
 			var e front.Event
@@ -219,7 +221,7 @@
 		events = append(events, front.Down{Proxy: o.proxy.ID, Stream: o.stream, Why: errors.New("the proxy has started anew")})
 	}
 	if !o.up {
-		if string(text) == o.shut {
+		if string(text) == o.shut && !o.inPlace(ack) {
 			return events, nil
 		}
 		return append(events, o.begin(ack)), nil
@@ -237,6 +239,24 @@
 	return events, nil
 }
 
+// inPlace tells whether a proxy goes by the files that are in place. A stream that was broken off, say because a disk was
+// slow, begins anew then, though the acknowledgement is the one that stood.
+func (o *folder) inPlace(ack Ack) bool {
+	text, err := readFile(filepath.Join(o.path, TablesFile))
+	if err != nil {
+		return false
+	}
+	t, err := DecodeTables(text)
+	if err != nil || t.Version != ack.Tables {
+		return false
+	}
+	if text, err = readFile(filepath.Join(o.path, LevelsFile)); err != nil {
+		return errors.Is(err, fs.ErrNotExist)
+	}
+	version, _, err := DecodeLevels(text)
+	return err == nil && version == ack.Levels
+}
+
 // number gives the counter of a version of this run, 0 for any other.
 func (f *Front) number(version string) uint64 {
 	epoch, count, ok := strings.Cut(version, ".")
--- a/governor/files_test.go
+++ b/governor/files_test.go
@@ -94,8 +94,12 @@
 			}
 			_ = before.Stop(cancelled())
 			y.govern(servers, nil)
-			y.lay(servers)
+			laid := 0
 			y.until(fmt.Sprintf("step %d of swap %d: on what is wanted", step, nth), func() bool {
+				if laid < y.joins[0] { // on a slow disk it may join twice; its binding ends with a stream
+					laid = y.joins[0]
+					y.lay(servers)
+				}
 				return y.wants(y.proxies[0], servers) && y.plane.Idle()
 			})
 			left, _ := filepath.Glob(filepath.Join(y.to[0].Addr, files.TablesFile+".*"))
@@ -192,6 +196,16 @@
 	}
 }
 
+// TestBrokenOffThoughAcknowledged: a stream that is broken off while the proxy goes by all that is in place begins anew.
+func TestBrokenOffThoughAcknowledged(t *testing.T) {
+	y := newFolders(t, 1, 3)
+	y.govern(3, nil)
+	y.lay(3)
+	y.until("laid", func() bool { return y.wants(y.proxies[0], 3) && y.plane.Idle() })
+	y.front.Drop(0)
+	y.until("joined again", func() bool { return y.joins[0] == 2 })
+}
+
 // TestMuteProxy: one that never acknowledges is given up on, and taken up again when it acknowledges something new.
 func TestMuteProxy(t *testing.T) {
 	const servers = 4
--- /dev/null
+++ b/tables/tables.go
@@ -0,0 +1,387 @@
+// Package tables gives every class table versions: what changed from one to the next, a digest of the whole by which
+// anyone can tell that he holds the right one, a bounded history, and a way back. It is pure: no I/O, no clock.
+// docs/design/versions.md has the canonical form of a digest.
+package tables
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cressknot/fleet"
+)
+
+// Version orders tables: by the start of the governor that made them, then by a counter. A governor that starts later, or
+// takes over later, has the larger epoch, so that its versions come after all before.
+type Version struct {
+	Epoch uint64 // of the governor's start: nanoseconds of the wall clock
+	Count uint64 // from 1
+}
+
+// None is the version of a proxy that holds no table of any governor.
+var None Version
+
+// Compare orders versions.
+func (v Version) Compare(o Version) int {
+	return cmp.Or(cmp.Compare(v.Epoch, o.Epoch), cmp.Compare(v.Count, o.Count))
+}
+
+// Next gives the version after. A counter that is used up begins a new epoch, so that order is kept.
+func (v Version) Next() Version {
+	if v.Count == math.MaxUint64 {
+		return Version{v.Epoch + 1, 1}
+	}
+	return Version{v.Epoch, v.Count + 1}
+}
+
+func (v Version) String() string {
+	return strconv.FormatUint(v.Epoch, 36) + "." + strconv.FormatUint(v.Count, 10)
+}
+
+// ParseVersion reads what String prints.
+func ParseVersion(text string) (Version, error) {
+	epoch, count, ok := strings.Cut(text, ".")
+	e, err := strconv.ParseUint(epoch, 36, 64)
+	n, err2 := strconv.ParseUint(count, 10, 64)
+	if !ok || err != nil || err2 != nil || len(text) > 40 {
+		return None, fmt.Errorf("%.40q is no version: it reads as EPOCH.COUNT", text)
+	}
+	return Version{e, n}, nil
+}
+
+// Digest sums up a table whatever the order of its lines: the sum of the digests of its lines, modulo 2^64. So a changed
+// line changes it in constant time.
+type Digest uint64
+
+func (d Digest) String() string { return fmt.Sprintf("%016x", uint64(d)) }
+
+// LineDigest gives the digest of one line: xxhash64 of the server's name, a space and the weight in decimal, as
+// "node-07 128". A line of weight 0 is none and has digest 0.
+func LineDigest(server string, weight int) Digest {
+	if weight <= 0 {
+		return 0
+	}
+	var room [128]byte
+	b := append(append(room[:0], server...), ' ')
+	return Digest(xxhash.Sum64(strconv.AppendInt(b, int64(weight), 10)))
+}
+
+// Line is one line of a table: the weight that proxies are sent, 0 to 256; 0 in a delta takes it out. Was is what a
+// delta found.
+type Line struct {
+	Server      fleet.ServerID
+	Weight, Was int
+}
+
+// Delta takes a table from one version to another. Lines are by server, one for each.
+type Delta struct {
+	From, To             Version
+	FromDigest, ToDigest Digest
+	Lines                []Line
+	At                   fleet.Time // when it was made
+	Why                  string     // "" for the module's own
+}
+
+// Names gives the names of servers, of which digests are made.
+type Names func(fleet.ServerID) string
+
+// Table is one class table with its versions. The zero value is not ready; New makes one.
+type Table struct {
+	version Version
+	digest  Digest
+	lines   map[fleet.ServerID]int
+	names   Names
+	history []Delta // oldest first, without gaps up to the present version
+	kept    int     // lines in history
+	bounds  Bounds
+}
+
+// Bounds keep the history small.
+type Bounds struct {
+	Lines int        // in all deltas that are kept
+	Age   fleet.Time // of the oldest
+}
+
+// New makes an empty table in an epoch.
+func New(epoch uint64, names Names, bounds Bounds) *Table {
+	return &Table{version: Version{Epoch: epoch}, lines: map[fleet.ServerID]int{}, names: names, bounds: bounds}
+}
+
+// Version and Digest tell which table this is.
+func (t *Table) Version() Version { return t.version }
+
+// Digest tells the digest of the whole.
+func (t *Table) Digest() Digest { return t.digest }
+
+// Len tells how many lines it has.
+func (t *Table) Len() int { return len(t.lines) }
+
+// Weight gives the weight of a server's line, 0 for none.
+func (t *Table) Weight(id fleet.ServerID) int { return t.lines[id] }
+
+// Lines gives all lines by server.
+func (t *Table) Lines() []Line { return sorted(t.lines) }
+
+func sorted(of map[fleet.ServerID]int) []Line {
+	lines := make([]Line, 0, len(of))
+	for id, w := range of {
+		lines = append(lines, Line{Server: id, Weight: w})
+	}
+	slices.SortFunc(lines, func(a, b Line) int { return cmp.Compare(a.Server, b.Server) })
+	return lines
+}
+
+// Change makes the next version of the lines that are given; what stands already is no change. Without any there is no
+// new version, and ok is false.
+func (t *Table) Change(now fleet.Time, lines []Line, why string) (d Delta, ok bool) {
+	d = Delta{From: t.version, FromDigest: t.digest, At: now, Why: why}
+	changed := map[fleet.ServerID]int{}
+	for _, l := range lines {
+		changed[l.Server] = max(0, l.Weight)
+	}
+	for _, l := range sorted(changed) {
+		if l.Was = t.lines[l.Server]; l.Weight != l.Was {
+			d.Lines = append(d.Lines, l)
+		}
+	}
+	if len(d.Lines) == 0 {
+		return d, false
+	}
+	for _, l := range d.Lines {
+		t.put(l)
+	}
+	t.version = t.version.Next()
+	d.To, d.ToDigest = t.version, t.digest
+	t.history = append(t.history, d)
+	t.kept += len(d.Lines)
+	t.trim(now)
+	return d, true
+}
+
+func (t *Table) put(l Line) {
+	name := t.names(l.Server)
+	t.digest += LineDigest(name, l.Weight) - LineDigest(name, t.lines[l.Server])
+	if l.Weight == 0 {
+		delete(t.lines, l.Server)
+	} else {
+		t.lines[l.Server] = l.Weight
+	}
+}
+
+// trim forgets the oldest versions past the bounds; the newest delta always stays.
+func (t *Table) trim(now fleet.Time) {
+	n := 0
+	for n < len(t.history)-1 && (t.kept > t.bounds.Lines || t.history[n].At < now-t.bounds.Age) {
+		t.kept -= len(t.history[n].Lines)
+		n++
+	}
+	if n > 0 {
+		clear(t.history[:n]) // what append copies in time is only what is kept
+		t.history = t.history[n:]
+	}
+}
+
+// History gives the deltas that are kept, oldest first.
+func (t *Table) History() []Delta { return t.history }
+
+// GoneError tells that a version is not kept any more, or never was.
+type GoneError struct{ Version, Oldest, Newest Version }
+
+func (e *GoneError) Error() string {
+	return fmt.Sprintf("version %s is not kept; from %s to %s are", e.Version, e.Oldest, e.Newest)
+}
+
+func (t *Table) find(v Version) (int, error) { // the number of deltas kept after it
+	for i := len(t.history); i > 0; i-- {
+		if t.history[i-1].To == v {
+			return len(t.history) - i, nil
+		}
+	}
+	oldest := t.version
+	if len(t.history) > 0 {
+		if oldest = t.history[0].From; oldest == v {
+			return len(t.history), nil
+		}
+	} else if v == t.version {
+		return 0, nil
+	}
+	return 0, &GoneError{v, oldest, t.version}
+}
+
+// Fold gives one delta from an earlier version to the present: each line that differs, once.
+func (t *Table) Fold(from Version) (Delta, error) {
+	after, err := t.find(from)
+	if err != nil {
+		return Delta{}, err
+	}
+	d := Delta{From: from, To: t.version, FromDigest: t.digest, ToDigest: t.digest}
+	deltas := t.history[len(t.history)-after:]
+	if len(deltas) == 0 {
+		return d, nil
+	}
+	d.FromDigest, d.At = deltas[0].FromDigest, deltas[len(deltas)-1].At
+	was := map[fleet.ServerID]int{}
+	for _, one := range slices.Backward(deltas) { // the earliest word on what was counts
+		for _, l := range one.Lines {
+			was[l.Server] = l.Was
+		}
+	}
+	for _, l := range sorted(was) {
+		if now := t.lines[l.Server]; now != l.Weight {
+			d.Lines = append(d.Lines, Line{l.Server, now, l.Weight})
+		}
+	}
+	return d, nil
+}
+
+// At gives the whole of an earlier version, by server.
+func (t *Table) At(v Version) ([]Line, error) {
+	d, err := t.Fold(v)
+	if err != nil {
+		return nil, err
+	}
+	whole := map[fleet.ServerID]int{}
+	for id, w := range t.lines {
+		whole[id] = w
+	}
+	for _, l := range d.Lines {
+		if whole[l.Server] = l.Was; l.Was == 0 {
+			delete(whole, l.Server)
+		}
+	}
+	return sorted(whole), nil
+}
+
+// Way is how a proxy comes to the present version.
+type Way uint8
+
+// The ways, in the order in which they are preferred at the same number of lines.
+const (
+	Nothing Way = iota // it holds the present version
+	Deltas             // those in between, one after the other
+	Folded             // one delta for all of them
+	Whole              // the whole table
+)
+
+// Plan gives the shortest safe way for one who says what he holds: by lines, each message costing head lines more. One who
+// holds what no version of ours was, or says so with a digest that is not that version's, gets the whole.
+func (t *Table) Plan(v Version, digest Digest, head int) (way Way, deltas []Delta) {
+	if v == t.version && digest == t.digest {
+		return Nothing, nil
+	}
+	whole := Delta{From: None, To: t.version, ToDigest: t.digest, Lines: t.Lines()}
+	folded, err := t.Fold(v)
+	if err != nil || folded.FromDigest != digest {
+		return Whole, []Delta{whole}
+	}
+	after, _ := t.find(v)
+	between := t.history[len(t.history)-after:]
+	each := 0
+	for _, d := range between {
+		each += head + len(d.Lines)
+	}
+	switch once := head + len(folded.Lines); {
+	case len(whole.Lines)+head < min(once, each):
+		return Whole, []Delta{whole}
+	case each <= once:
+		return Deltas, slices.Clone(between)
+	}
+	return Folded, []Delta{folded}
+}
+
+// Difference is a line in which a way back had to differ from the version gone back to.
+type Difference struct {
+	Line
+	Why string
+}
+
+// Back makes a new version with the content of an earlier one, as far as today's servers allow: allow tells why a server
+// may not stand in it, "" if it may. A version of which nothing may stand is refused.
+func (t *Table) Back(now fleet.Time, to Version, allow func(fleet.ServerID) string) (Delta, []Difference, error) {
+	old, err := t.At(to)
+	if err != nil {
+		return Delta{}, nil, err
+	}
+	var lines []Line
+	var differs []Difference
+	wanted := map[fleet.ServerID]bool{}
+	for _, l := range old {
+		if why := allow(l.Server); why != "" {
+			differs = append(differs, Difference{l, why})
+			continue
+		}
+		wanted[l.Server] = true
+		lines = append(lines, l)
+	}
+	if len(lines) == 0 && len(old) > 0 {
+		return Delta{}, differs, fmt.Errorf("nothing of version %s may stand today: %s", to, differs[0].Why)
+	}
+	for id := range t.lines {
+		if !wanted[id] {
+			lines = append(lines, Line{Server: id})
+		}
+	}
+	d, changed := t.Change(now, lines, "back to "+to.String())
+	if !changed {
+		return d, differs, fmt.Errorf("that is what stands already, as version %s", t.version)
+	}
+	return d, differs, nil
+}
+
+// Copy is what a follower holds of a table: a proxy's side, a client library's.
+type Copy struct {
+	version Version
+	digest  Digest
+	lines   map[string]int
+}
+
+// Named is a line as it travels: servers by their names.
+type Named struct {
+	Server string
+	Weight int
+}
+
+// Version and Digest tell what is held.
+func (c *Copy) Version() (Version, Digest) { return c.version, c.digest }
+
+// Lines gives what is held.
+func (c *Copy) Lines() map[string]int { return c.lines }
+
+// MismatchError tells that a delta can't be taken; what was held stays, and the whole is to be asked for.
+type MismatchError struct{ What string }
+
+func (e *MismatchError) Error() string { return e.What }
+
+// Apply takes a delta whole, or not at all. One that ends where the copy is or before is old and does nothing; one that begins
+// elsewhere, or does not end at the digest it names, is an error. From None it is the whole table.
+func (c *Copy) Apply(d Delta, lines []Named) error {
+	if d.To.Compare(c.version) <= 0 && !(d.To == c.version && d.ToDigest != c.digest) {
+		return nil
+	}
+	next := Copy{version: d.To, lines: map[string]int{}}
+	if d.From != None {
+		if d.From != c.version || d.FromDigest != c.digest {
+			return &MismatchError{fmt.Sprintf("a delta from %s (%s), but %s (%s) is held", d.From, d.FromDigest, c.version, c.digest)}
+		}
+		next.digest = c.digest
+		for server, w := range c.lines {
+			next.lines[server] = w
+		}
+	}
+	for _, l := range lines {
+		next.digest += LineDigest(l.Server, l.Weight) - LineDigest(l.Server, next.lines[l.Server])
+		if next.lines[l.Server] = l.Weight; l.Weight == 0 {
+			delete(next.lines, l.Server)
+		}
+	}
+	if next.digest != d.ToDigest {
+		return &MismatchError{fmt.Sprintf("version %s should have digest %s, what came gives %s", d.To, d.ToDigest, next.digest)}
+	}
+	*c = next
+	return nil
+}
--- /dev/null
+++ b/tables/tables_test.go
@@ -0,0 +1,355 @@
+package tables
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"maps"
+	"math"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"cressknot/fleet"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	set := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "5", "rapid.checks": "3000", "rapid.nofailfile": "true"} {
+		if !set[name] {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func name(id fleet.ServerID) string { return fmt.Sprint("n", id) }
+
+func named(lines []Line) (all []Named) {
+	for _, l := range lines {
+		all = append(all, Named{name(l.Server), l.Weight})
+	}
+	return all
+}
+
+func contents(lines []Line) map[string]int {
+	m := map[string]int{}
+	for _, l := range lines {
+		m[name(l.Server)] = l.Weight
+	}
+	return m
+}
+
+// TestFollowersEndOnTheNewestVersion: deltas lost, repeated, reordered and damaged, ways back while deltas travel, a governor
+// that starts anew or another one that takes over, followers set back in time: after each step every follower holds a
+// whole version that was once made, never goes to one that is older, and in the end all hold the newest.
+func TestFollowersEndOnTheNewestVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const followers, servers = 3, 5
+		epoch := uint64(1)
+		table := New(epoch, name, Bounds{Lines: rapid.IntRange(1, 40).Draw(t, "kept"), Age: 100 * fleet.Second})
+		made := map[Version]map[string]int{None: {}, table.Version(): {}}
+		digests := map[Version]Digest{None: 0, table.Version(): 0}
+		copies := make([]Copy, followers)
+		flying := make([][]Delta, followers)
+		now := fleet.Second
+		note := func() {
+			made[table.Version()], digests[table.Version()] = contents(table.Lines()), table.Digest()
+			want := Digest(0)
+			for _, l := range table.Lines() {
+				want += LineDigest(name(l.Server), l.Weight)
+			}
+			if want != table.Digest() {
+				t.Fatalf("digest %v kept up to date, %v worked out", table.Digest(), want)
+			}
+		}
+		push := func(i int) {
+			v, digest := copies[i].Version()
+			_, deltas := table.Plan(v, digest, 6)
+			flying[i] = append(flying[i], deltas...)
+		}
+		take := func(i, at int) {
+			d := flying[i][at]
+			before, _ := copies[i].Version()
+			err := copies[i].Apply(d, named(d.Lines))
+			var mismatch *MismatchError
+			if err != nil && !errors.As(err, &mismatch) {
+				t.Fatal(err)
+			}
+			v, digest := copies[i].Version()
+			if v.Compare(before) < 0 {
+				t.Fatalf("went from %v back to %v", before, v)
+			}
+			if want, known := made[v]; !known || !maps.Equal(want, copies[i].Lines()) && len(want)+len(copies[i].Lines()) > 0 || digests[v] != digest {
+				t.Fatalf("holds %v as %v, which was %v", copies[i].Lines(), v, want)
+			}
+		}
+		for range rapid.IntRange(1, 50).Draw(t, "steps") {
+			now += fleet.Time(rapid.IntRange(0, 3000).Draw(t, "ms")) * fleet.Millisecond
+			i := rapid.IntRange(0, followers-1).Draw(t, "follower")
+			switch rapid.IntRange(0, 8).Draw(t, "what") {
+			case 0, 1, 2:
+				var lines []Line
+				for range rapid.IntRange(1, 3).Draw(t, "lines") {
+					lines = append(lines, Line{Server: fleet.ServerID(rapid.IntRange(0, servers-1).Draw(t, "server")), Weight: rapid.IntRange(0, 3).Draw(t, "weight")})
+				}
+				table.Change(now, lines, "")
+				note()
+			case 3:
+				if h := table.History(); len(h) > 0 {
+					to := h[rapid.IntRange(0, len(h)-1).Draw(t, "to")].From
+					out := fleet.ServerID(rapid.IntRange(0, servers-1).Draw(t, "gone"))
+					_, differs, err := table.Back(now, to, func(id fleet.ServerID) string {
+						if id == out {
+							return "gone"
+						}
+						return ""
+					})
+					note()
+					want := maps.Clone(made[to])
+					if _, had := want[name(out)]; had != (len(differs) == 1) {
+						t.Fatalf("gone %v, differs %v", out, differs)
+					}
+					delete(want, name(out))
+					if err == nil && !maps.Equal(want, contents(table.Lines())) {
+						t.Fatalf("back to %v gives %v, not %v", to, contents(table.Lines()), want)
+					}
+				}
+			case 4:
+				push(i)
+			case 5, 6:
+				if len(flying[i]) > 0 { // in any order
+					at := rapid.IntRange(0, len(flying[i])-1).Draw(t, "at")
+					take(i, at)
+					if rapid.Bool().Draw(t, "once") {
+						flying[i] = slices.Delete(flying[i], at, at+1)
+					}
+				}
+			case 7:
+				if len(flying[i]) > 0 && len(flying[i][0].Lines) > 0 { // damaged on its way
+					d := flying[i][0]
+					d.Lines = slices.Clone(d.Lines)
+					d.Lines[0].Weight++
+					before := maps.Clone(copies[i].Lines())
+					if err := copies[i].Apply(d, named(d.Lines)); err == nil && !maps.Equal(before, copies[i].Lines()) {
+						t.Fatal("a damaged delta was taken")
+					}
+				}
+				flying[i] = nil
+			case 8:
+				if rapid.Bool().Draw(t, "governor") { // it starts anew, or another takes over, with the lines that it sees
+					lines := table.Lines()
+					epoch += uint64(rapid.IntRange(1, 3).Draw(t, "epoch"))
+					table = New(epoch, name, table.bounds)
+					note()
+					table.Change(now, lines, "")
+					note()
+				} else { // restored from an image
+					copies[i], flying[i] = Copy{}, nil
+				}
+			}
+		}
+		for i := range followers {
+			flying[i] = nil
+			push(i)
+			for len(flying[i]) > 0 {
+				take(i, 0)
+				flying[i] = flying[i][1:]
+			}
+			if v, digest := copies[i].Version(); v != table.Version() || digest != table.Digest() {
+				t.Fatalf("ends on %v, not %v", v, table.Version())
+			}
+		}
+		if table.kept > table.bounds.Lines && len(table.history) > 1 {
+			t.Fatalf("%d lines kept, %d may be", table.kept, table.bounds.Lines)
+		}
+	})
+}
+
+// TestEveryInterleaving plays out all orders of three deltas, one way back, two followers and one cut.
+func TestEveryInterleaving(t *testing.T) {
+	runs := 0
+	var play func(table *Table, copies [2]Copy, flying [2][]Delta, changes, cuts int, now fleet.Time)
+	clone := func(of *Table) *Table {
+		c := *of
+		c.lines, c.history = maps.Clone(of.lines), slices.Clone(of.history)
+		return &c
+	}
+	apply := func(c Copy, d Delta) Copy {
+		c.lines = maps.Clone(c.lines)
+		_ = c.Apply(d, named(d.Lines))
+		return c
+	}
+	play = func(table *Table, copies [2]Copy, flying [2][]Delta, changes, cuts int, now fleet.Time) {
+		now += fleet.Second
+		moved := false
+		if changes < 4 {
+			moved = true
+			next, send := clone(table), flying
+			if changes == 2 { // the way back, while the others may be on their way
+				if _, _, err := next.Back(now, next.History()[0].From, func(fleet.ServerID) string { return "" }); err != nil {
+					t.Fatal(err)
+				}
+			} else {
+				next.Change(now, []Line{{Server: fleet.ServerID(changes % 2), Weight: changes + 1}}, "")
+			}
+			for i := range send {
+				send[i] = append(slices.Clone(send[i]), next.History()[len(next.History())-1])
+			}
+			play(next, copies, send, changes+1, cuts, now)
+		}
+		for i := range copies {
+			if len(flying[i]) > 0 {
+				moved = true
+				after, left := copies, flying
+				after[i], left[i] = apply(copies[i], flying[i][0]), flying[i][1:]
+				play(table, after, left, changes, cuts, now)
+				if cuts < 1 { // all that travels to it is lost
+					left[i] = nil
+					play(table, copies, left, changes, cuts+1, now)
+				}
+			}
+		}
+		if moved {
+			return
+		}
+		runs++
+		for i := range copies {
+			v, digest := copies[i].Version()
+			_, deltas := table.Plan(v, digest, 6)
+			c := copies[i]
+			for _, d := range deltas {
+				c = apply(c, d)
+			}
+			if v, digest := c.Version(); v != table.Version() || digest != table.Digest() || !maps.Equal(c.lines, contents(table.Lines())) {
+				t.Fatalf("follower %d ends on %v %v, not %v %v", i, v, c.lines, table.Version(), contents(table.Lines()))
+			}
+		}
+	}
+	first := New(1, name, Bounds{Lines: 100, Age: 1000 * fleet.Second})
+	first.Change(0, []Line{{Server: 9, Weight: 9}}, "")
+	var copies [2]Copy
+	for i := range copies {
+		copies[i] = apply(Copy{}, Delta{To: first.Version(), ToDigest: first.Digest(), Lines: first.Lines()})
+	}
+	play(first, copies, [2][]Delta{}, 0, 0, fleet.Second)
+	t.Logf("%d interleavings, none broken", runs)
+	if runs < 1000 {
+		t.Errorf("only %d interleavings", runs)
+	}
+}
+
+// TestHardCases: a collision of digests, a counter that is used up, tables of no and of many lines, versions that are gone.
+func TestHardCases(t *testing.T) {
+	table := New(7, name, Bounds{Lines: 30_000, Age: 100 * fleet.Second})
+	if way, _ := table.Plan(table.Version(), 0, 6); way != Nothing {
+		t.Errorf("an empty table: %v", way)
+	}
+	var lines []Line
+	for i := range 10_000 {
+		lines = append(lines, Line{Server: fleet.ServerID(i), Weight: 1 + i%256})
+	}
+	d, _ := table.Change(1, lines, "")
+	var c Copy
+	if err := c.Apply(Delta{To: d.To, ToDigest: d.ToDigest}, named(d.Lines)); err != nil || len(c.Lines()) != 10_000 {
+		t.Fatal(err)
+	}
+	// The same version and digest, other content: it can't be told by the digest, so it must not come to be. Whoever says a
+	// version with a wrong digest gets the whole, and a delta that pretends the digest of another content is refused.
+	if way, _ := table.Plan(d.To, d.ToDigest+1, 6); way != Whole {
+		t.Errorf("a version with a foreign digest gets %v, not the whole", way)
+	}
+	v, digest := c.Version()
+	err := c.Apply(Delta{From: v, FromDigest: digest, To: v.Next(), ToDigest: digest}, []Named{{"n1", 77}})
+	if after, _ := c.Version(); err == nil || after != v {
+		t.Errorf("content changed under an unchanged digest: %v, %v", err, after)
+	}
+	// A follower that missed a version must not take the next, though the content would come out the same.
+	var missed Copy
+	small := New(1, name, Bounds{Lines: 10, Age: 100 * fleet.Second})
+	one, _ := small.Change(1, []Line{{Server: 1, Weight: 1}}, "")
+	if err := missed.Apply(Delta{To: one.To, ToDigest: one.ToDigest}, named(one.Lines)); err != nil {
+		t.Fatal(err)
+	}
+	small.Change(2, []Line{{Server: 1, Weight: 2}}, "")
+	three, _ := small.Change(3, []Line{{Server: 1, Weight: 3}}, "")
+	if err := missed.Apply(three, named(three.Lines)); err == nil {
+		t.Error("a follower took a delta over a version that it had missed")
+	}
+	table.version.Count = math.MaxUint64
+	if next, _ := table.Change(2, []Line{{Server: 1, Weight: 99}}, ""); next.To.Compare(Version{7, math.MaxUint64}) <= 0 || next.To.Count != 1 {
+		t.Errorf("after the last counter comes %v", next.To)
+	}
+	if _, err := table.At(Version{3, 3}); err == nil || !strings.Contains(err.Error(), "is not kept") {
+		t.Error(err)
+	}
+	if _, differs, err := table.Back(3, Version{7, 1}, func(fleet.ServerID) string { return "gone" }); err == nil || len(differs) == 0 {
+		t.Errorf("back to servers that are all gone: %v", err)
+	}
+	for _, text := range []string{"", "7", "7.", ".1", "7.x", "zz_.1", strings.Repeat("1", 50)} {
+		if _, err := ParseVersion(text); err == nil {
+			t.Errorf("%q reads as a version", text)
+		}
+	}
+	if v, err := ParseVersion(Version{123456789, 42}.String()); err != nil || v != (Version{123456789, 42}) {
+		t.Error(v, err)
+	}
+}
+
+func big(lines int) *Table {
+	t := New(1, name, Bounds{Lines: 1 << 20, Age: math.MaxInt64})
+	var all []Line
+	for i := range lines {
+		all = append(all, Line{Server: fleet.ServerID(i), Weight: 100})
+	}
+	t.Change(1, all, "")
+	return t
+}
+
+func BenchmarkChangedLine(b *testing.B) { // of tables of 100 and 10,000 lines: the same time
+	for _, n := range []int{100, 10_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			t := big(n)
+			t.bounds.Lines = n + 1000
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				t.Change(2, []Line{{Server: 5, Weight: 1 + i%200}}, "")
+			}
+		})
+	}
+}
+
+func BenchmarkDelta1Percent(b *testing.B) { // of 10,000 lines
+	t := big(10_000)
+	t.bounds.Lines = 20_000
+	for i := 0; b.Loop(); i++ {
+		lines := make([]Line, 100)
+		for j := range lines {
+			lines[j] = Line{Server: fleet.ServerID(j * 100), Weight: 1 + i%200}
+		}
+		t.Change(2, lines, "")
+	}
+}
+
+func BenchmarkFold100(b *testing.B) { // versions of 100 lines each, of 10,000 lines
+	t := big(10_000)
+	from := t.Version()
+	for v := range 100 {
+		lines := make([]Line, 100)
+		for j := range lines {
+			lines[j] = Line{Server: fleet.ServerID((v*37 + j*100) % 10_000), Weight: 1 + v}
+		}
+		t.Change(2, lines, "")
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := t.Fold(from); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
