Give tables versions: stamped at proxies, pinned, taken back, hand changes noticed

The plane notes a version of each table a step, tells it to proxies last in a message that leaves nothing open (a map entry, or in the layer of the files front), can pin a table or go back to an earlier version as far as today's servers allow, and compares each poll's weights and states with what was sent: what differs is told and put right.

--- a/front/files/format.go
+++ b/front/files/format.go
@@ -83,7 +83,7 @@
 type runtimeLayer struct {
 	Type  string         `json:"@type"`
 	Name  string         `json:"name"`
-	Layer map[string]int `json:"layer"`
+	Layer map[string]any `json:"layer"`
 }
 
 // EncodeTables writes the tables' file. Lines are in order of their names, so that the same tables give the same
@@ -166,9 +166,18 @@
 	return t, nil
 }
 
-// EncodeLevels writes the levels' file.
-func EncodeLevels(version string, levels map[string]int) ([]byte, error) {
-	text, err := json.Marshal(runtimeLayer{rtdsType, layer, levels})
+const versionKey = ".version" // behind a class's name in the layer: version and digest of its table
+
+// EncodeLevels writes the levels' file, with the versions of the classes' tables.
+func EncodeLevels(version string, levels map[string]int, stamps map[string]string) ([]byte, error) {
+	all := map[string]any{}
+	for k, v := range levels {
+		all[k] = v
+	}
+	for class, stamp := range stamps {
+		all[class+versionKey] = stamp
+	}
+	text, err := json.Marshal(runtimeLayer{rtdsType, layer, all})
 	if err != nil {
 		return nil, err
 	}
@@ -176,22 +185,36 @@
 }
 
 // DecodeLevels reads it.
-func DecodeLevels(text []byte) (version string, levels map[string]int, err error) {
+func DecodeLevels(text []byte) (version string, levels map[string]int, stamps map[string]string, err error) {
 	var r response
 	if err := decode(LevelsFile, text, &r); err != nil {
-		return "", nil, err
+		return "", nil, nil, err
 	}
 	var l runtimeLayer
 	if len(r.Resources) != 1 {
-		return "", nil, fmt.Errorf("%s: has %d resources, not one", LevelsFile, len(r.Resources))
+		return "", nil, nil, fmt.Errorf("%s: has %d resources, not one", LevelsFile, len(r.Resources))
 	}
 	if err := json.Unmarshal(r.Resources[0], &l); err != nil {
-		return "", nil, fmt.Errorf("%s: resources[0]: %w", LevelsFile, err)
+		return "", nil, nil, fmt.Errorf("%s: resources[0]: %w", LevelsFile, err)
 	}
 	if l.Type != rtdsType {
-		return "", nil, fmt.Errorf("%s: resources[0]: is no %s", LevelsFile, rtdsType)
+		return "", nil, nil, fmt.Errorf("%s: resources[0]: is no %s", LevelsFile, rtdsType)
+	}
+	levels, stamps = map[string]int{}, map[string]string{}
+	for k, v := range l.Layer {
+		class, isVersion := strings.CutSuffix(k, versionKey)
+		switch v := v.(type) {
+		case string:
+			if isVersion {
+				stamps[class] = v
+			}
+		case float64:
+			levels[k] = int(v)
+		default:
+			return "", nil, nil, fmt.Errorf("%s: resources[0].layer.%s: is neither number nor text", LevelsFile, k)
+		}
 	}
-	return r.Version, l.Layer, nil
+	return r.Version, levels, stamps, nil
 }
 
 // Ack is what a proxy says that it holds.
--- a/front/files/front.go
+++ b/front/files/front.go
@@ -69,6 +69,7 @@
 	tables   map[string]map[string]Endpoint
 	laid     map[string]bool // backends that the files speak of; others stay as the proxy has them
 	levels   map[string]int
+	stamps   map[string]string // by class: version and digest of its table
 	wrote    map[string][]byte // by file name: what was put in place
 	sent     []sent            // not acknowledged
 	version  uint64
@@ -253,7 +254,7 @@
 	if text, err = readFile(filepath.Join(o.path, LevelsFile)); err != nil {
 		return errors.Is(err, fs.ErrNotExist)
 	}
-	version, _, err := DecodeLevels(text)
+	version, _, _, err := DecodeLevels(text)
 	return err == nil && version == ack.Levels
 }
 
@@ -273,7 +274,7 @@
 	f := o.front
 	o.stream++
 	o.up, o.started, o.shut, o.sent, o.polling = true, ack.Started, "", nil, false
-	o.tables, o.levels = map[string]map[string]Endpoint{}, map[string]int{}
+	o.tables, o.levels, o.stamps = map[string]map[string]Endpoint{}, map[string]int{}, map[string]string{}
 	o.wrote, o.laid = map[string][]byte{}, map[string]bool{}
 	snap := steer.Snapshot{Zone: o.proxy.Zone, Weight: o.proxy.Visits, Fresh: ack.Tables == "",
 		Levels: make([]steer.Level, len(f.opt.Classes))}
@@ -298,14 +299,15 @@
 		}
 	}
 	if text, err := readFile(filepath.Join(o.path, LevelsFile)); err == nil {
-		if version, levels, err := DecodeLevels(text); err == nil && version == ack.Levels {
-			o.levels = levels
+		if version, levels, stamps, err := DecodeLevels(text); err == nil && version == ack.Levels {
+			o.levels, o.stamps = levels, stamps
 			for c, class := range f.opt.Classes {
 				amount, told := levels[f.amountKey(class.Name)]
 				retry, too := levels[class.Name+".retry"]
 				if amount == f.amountAll() {
 					amount = -1
 				}
+				snap.Stamps = append(snap.Stamps, stamps[class.Name])
 				snap.Levels[c] = steer.Level{Known: told && too, Amount: int32(amount), Retry: fleet.Retry(retry)}
 			}
 		}
@@ -364,6 +366,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", StatFile, err)
 	}
+	r.Lines = nil // these may be older than what was acknowledged; what stands in the files is watched itself
 	if text, err = readFile(filepath.Join(o.path, NodesFile)); err == nil {
 		if err := r.ReadTracked(text, f.opt.Names.Server); err != nil {
 			return nil, fmt.Errorf("%s: %w", NodesFile, err)
@@ -385,6 +388,11 @@
 	}
 	o.version++
 	for _, c := range m.Changes {
+		if c.Kind == steer.SetVersion {
+			o.stamps[f.opt.Classes[c.Class].Name] = c.Stamp
+			o.levelsAt = o.version
+			continue
+		}
 		if c.Kind == steer.SetLevels {
 			amount := int(c.Level.Amount)
 			if amount < 0 {
@@ -437,8 +445,8 @@
 		t.Backends[backend] = kept
 	}
 	err := o.put(TablesFile, func() ([]byte, error) { return EncodeTables(t) })
-	if err == nil && len(o.levels) > 0 {
-		err = o.put(LevelsFile, func() ([]byte, error) { return EncodeLevels(f.versionOf(o.levelsAt), o.levels) })
+	if err == nil && len(o.levels)+len(o.stamps) > 0 {
+		err = o.put(LevelsFile, func() ([]byte, error) { return EncodeLevels(f.versionOf(o.levelsAt), o.levels, o.stamps) })
 	}
 	if err == nil {
 		o.dirty = false
--- a/front/haproxy/encode.go
+++ b/front/haproxy/encode.go
@@ -88,6 +88,10 @@
 		e.pair(class+".retry", strconv.Itoa(int(c.Level.Retry)))
 		return
 	}
+	if c.Kind == steer.SetVersion {
+		e.pair(e.s.link.front.opt.Classes[c.Class].Name+versionKey, c.Stamp)
+		return
+	}
 	name, addr := e.s.link.front.opt.Names.Of(c.Server)
 	switch c.Kind {
 	case steer.AddLine:
--- a/front/haproxy/session.go
+++ b/front/haproxy/session.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -62,6 +63,7 @@
 
 const (
 	steeredKey = "cressknot.steered" // in the map: this proxy has had messages of a governor since its start
+	versionKey = ".version"          // behind a class's name: version and digest of the table that it goes by
 	shareAll   = 1000
 	rateAll    = 1_000_000_000
 )
@@ -76,7 +78,7 @@
 	s.expect = append(s.expect, expectation{what: toPrompt}, expectation{what: toInfo}, expectation{what: toState},
 		expectation{what: toMap})
 	s.held = steer.Snapshot{Zone: s.link.proxy.Zone, Weight: s.link.proxy.Visits, Fresh: true,
-		Levels: make([]steer.Level, len(s.link.front.opt.Classes))}
+		Levels: make([]steer.Level, len(s.link.front.opt.Classes)), Stamps: make([]string, len(s.link.front.opt.Classes))}
 	s.flush()
 }
 
@@ -289,6 +291,14 @@
 		s.held.Fresh = false
 		return
 	}
+	if name, is := strings.CutSuffix(key, versionKey); is {
+		for c, class := range s.link.front.opt.Classes {
+			if class.Name == name {
+				s.held.Stamps[c] = string(value)
+			}
+		}
+		return
+	}
 	n, err := strconv.ParseInt(string(value), 10, 32)
 	for c, class := range s.link.front.opt.Classes {
 		l := &s.held.Levels[c]
--- a/governor/core.go
+++ b/governor/core.go
@@ -137,6 +137,7 @@
 func (c *Core) Turn(now fleet.Time, inputs []Input) Output {
 	if c.started < 0 {
 		c.started = now
+		c.plane.Epoch(uint64(now), func(id fleet.ServerID) string { name, _ := c.names.Of(id); return name })
 	}
 	var out Output
 	c.events = c.events[:0]
@@ -172,6 +173,10 @@
 			c.log(&out, Line{now, "warn", "guard", "held back: " + guard.Say(*a.Refused, name)})
 			continue
 		}
+		if a.Table {
+			c.log(&out, Line{now, "warn", "table", a.Text})
+			continue
+		}
 		c.log(&out, Line{now, "warn", "channel", fmt.Sprintf("proxy %s: %s", c.proxies[a.Proxy].Name, a.Text)})
 	}
 	asks, next := c.gather.Polls(now)
@@ -236,6 +241,7 @@
 	case front.Polled:
 		if !stale(in.Proxy, in.Stream) {
 			c.gather.Hear(in.Proxy, in.Reading)
+			c.plane.Seen(now, in.Proxy, in.Reading.Lines)
 		}
 	case list.Update:
 		c.list(now, in, out)
--- a/governor/governor_test.go
+++ b/governor/governor_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -135,7 +136,11 @@
 			y.take(e)
 		case <-tick.C:
 		case <-deadline:
-			y.t.Fatalf("%s: not within 30 s; refusals %v", what, y.why)
+			for _, to := range y.to {
+				ack, _ := os.ReadFile(filepath.Join(to.Addr, "ack.json"))
+				y.t.Logf("proxy %s acknowledges %s", to.Name, ack)
+			}
+			y.t.Fatalf("%s: not within 30 s; refusals %v; joins %v; proxies %+v", what, y.why, y.joins, y.plane.Proxies())
 		}
 	}
 }
--- a/internal/standin/files.go
+++ b/internal/standin/files.go
@@ -152,9 +152,11 @@
 	if errors.Is(err, fs.ErrNotExist) {
 		return
 	}
-	version, levels, err := "", map[string]int(nil), err
+	var version string
+	var levels map[string]int
+	var stamps map[string]string
 	if err == nil {
-		version, levels, err = files.DecodeLevels(text)
+		version, levels, stamps, err = files.DecodeLevels(text)
 	}
 	p.mu.Lock()
 	if err != nil {
@@ -164,6 +166,9 @@
 		for k, v := range levels {
 			p.levels[k] = strconv.Itoa(v)
 		}
+		for class, stamp := range stamps {
+			p.levels[class+".version"] = stamp
+		}
 	}
 	p.mu.Unlock()
 	p.acknowledge()
--- a/internal/standin/proxy.go
+++ b/internal/standin/proxy.go
@@ -542,6 +542,7 @@
 	for _, class := range p.Classes {
 		for _, l := range p.backends[class.Backend] {
 			l.row.Weight = uint64(l.weight)
+			l.row.Status = []byte(map[uint64]string{0: "UP", runtimeapi.AdminDrain: "DRAIN", runtimeapi.AdminMaint: "MAINT"}[l.admin])
 			out = runtimeapi.AppendStat(out, &l.row)
 		}
 		out = runtimeapi.AppendStat(out, p.totals[class.Backend])
--- a/reports/read.go
+++ b/reports/read.go
@@ -1,8 +1,11 @@
 package reports
 
 import (
+	"bytes"
+
 	"cressknot/fleet"
 	"cressknot/runtimeapi"
+	"cressknot/steer"
 )
 
 // ReadCounters makes a reading of what "show stat" prints: the lines of servers add up over the classes' backends, the
@@ -20,6 +23,8 @@
 			return nil
 		}
 		if server, known := lookup(string(row.Server)); known {
+			r.Lines = append(r.Lines, steer.SeenLine{Class: class, Server: server, Weight: int16(min(row.Weight, runtimeapi.WeightMost)),
+				State: stateOf(row.Status)})
 			m := r.Servers[server]
 			m.Tries, m.Failed = m.Tries+row.Good+failed, m.Failed+failed
 			r.Servers[server] = m
@@ -29,6 +34,17 @@
 	return r, err
 }
 
+// stateOf reads the status of a server; health checks of the proxy's own change nothing of what a governor has set.
+func stateOf(status []byte) steer.State {
+	switch {
+	case bytes.HasPrefix(status, []byte("MAINT")):
+		return steer.Out
+	case bytes.HasPrefix(status, []byte("DRAIN")):
+		return steer.Drain
+	}
+	return steer.In
+}
+
 // ReadTracked adds what "show table" prints: times of good answers and the load that the newest ones told.
 func (r *Reading) ReadTracked(text []byte, lookup func(string) (fleet.ServerID, bool)) error {
 	const unit = 1000 // loads stand in thousandths
--- a/reports/reports.go
+++ b/reports/reports.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"cressknot/fleet"
+	"cressknot/steer"
 )
 
 const (
@@ -37,6 +38,7 @@
 	At      fleet.Time // stamped by the loop that takes it in
 	Servers map[fleet.ServerID]Met
 	Classes []Came
+	Lines   []steer.SeenLine // what the proxy holds; may be empty
 }
 
 type pair struct {
--- a/runtimeapi/runtimeapi_test.go
+++ b/runtimeapi/runtimeapi_test.go
@@ -103,7 +103,7 @@
 }
 
 func TestTablesRoundTrip(t *testing.T) {
-	stat := Stat{Proxy: []byte("look"), Server: []byte("n1"), Sessions: 12, Held: 2, Denied: 1, ConnFailed: 3,
+	stat := Stat{Proxy: []byte("look"), Server: []byte("n1"), Status: []byte("UP"), Sessions: 12, Held: 2, Denied: 1, ConnFailed: 3,
 		RespFailed: 4, Retries: 5, Weight: 256, Good: 6, Errors: 7}
 	text := AppendStat(AppendStatHeader(nil), &stat)
 	if err := ReadStat(text, func(s *Stat) error {
@@ -144,9 +144,9 @@
 		want string
 	}{
 		{func() error { return ReadStat([]byte("<html>\n"), nil) }, "line 1: no header"},
-		{func() error { return ReadStat([]byte(stat+"a,b,-1\n"), nil) }, `line 2: column "scur": "-1" is no count`},
-		{func() error { return ReadStat([]byte(stat+"a,b,1\n"), nil) }, `line 2: column "stot" is missing`},
-		{func() error { return ReadStat([]byte("# pxname,svname\n"), nil) }, `line 1: no column "scur"`},
+		{func() error { return ReadStat([]byte(stat+"a,b,UP,-1\n"), nil) }, `line 2: column "scur": "-1" is no count`},
+		{func() error { return ReadStat([]byte(stat+"a,b,UP,1\n"), nil) }, `line 2: column "stot" is missing`},
+		{func() error { return ReadStat([]byte("# pxname,svname,status\n"), nil) }, `line 1: no column "scur"`},
 		{func() error { return ReadServersState([]byte("2\n"), nil) }, "line 1: format"},
 		{func() error { return ReadServersState([]byte("1\n# a b\n"), nil) }, `line 2: no column "be_name"`},
 		{func() error { return ReadMap([]byte("0x1 a b\nnonsense\n"), func(_, _ []byte) error { return nil }) }, "line 2:"},
--- a/runtimeapi/tables.go
+++ b/runtimeapi/tables.go
@@ -70,6 +70,7 @@
 // Stat is a line of "show stat": the counters that a governor reads. Times in milliseconds.
 type Stat struct {
 	Proxy, Server []byte // pxname, svname; svname is BACKEND for the sum of a backend
+	Status        []byte // status: UP, MAINT, DRAIN and others
 	Sessions      uint64 // stot
 	Held          uint64 // scur
 	Denied        uint64 // dreq
@@ -81,7 +82,7 @@
 	Good          uint64 // hrsp_1xx to hrsp_4xx
 }
 
-var statColumns = [...]string{"pxname", "svname", "scur", "stot", "dreq", "econ", "eresp", "wretr", "weight",
+var statColumns = [...]string{"pxname", "svname", "status", "scur", "stot", "dreq", "econ", "eresp", "wretr", "weight",
 	"hrsp_1xx", "hrsp_2xx", "hrsp_3xx", "hrsp_4xx", "hrsp_5xx"}
 
 // ReadStat reads the CSV of "show stat" by its header, whatever further columns it has.
@@ -112,7 +113,7 @@
 			if at[c] >= len(fields) {
 				return fmt.Errorf("column %q is missing", statColumns[c])
 			}
-			if c < 2 {
+			if c < 3 {
 				continue
 			}
 			var ok bool
@@ -120,9 +121,9 @@
 				return fmt.Errorf("column %q: %.40q is no count", statColumns[c], fields[at[c]])
 			}
 		}
-		row = Stat{Proxy: fields[at[0]], Server: fields[at[1]], Held: v[2], Sessions: v[3], Denied: v[4],
-			ConnFailed: v[5], RespFailed: v[6], Retries: v[7], Weight: v[8],
-			Good: v[9] + v[10] + v[11] + v[12], Errors: v[13]}
+		row = Stat{Proxy: fields[at[0]], Server: fields[at[1]], Status: fields[at[2]], Held: v[3], Sessions: v[4], Denied: v[5],
+			ConnFailed: v[6], RespFailed: v[7], Retries: v[8], Weight: v[9],
+			Good: v[10] + v[11] + v[12] + v[13], Errors: v[14]}
 		return each(&row)
 	})
 }
@@ -155,6 +156,7 @@
 func AppendStat(dst []byte, s *Stat) []byte {
 	dst = append(append(dst, s.Proxy...), ',')
 	dst = append(append(dst, s.Server...), ',')
+	dst = append(append(dst, s.Status...), ',')
 	for _, v := range [...]uint64{s.Held, s.Sessions, s.Denied, s.ConnFailed, s.RespFailed, s.Retries, s.Weight,
 		0, s.Good, 0, 0, s.Errors} {
 		dst = append(strconv.AppendUint(dst, v, 10), ',')
--- a/steer/channel.go
+++ b/steer/channel.go
@@ -159,7 +159,9 @@
 		p.judge.Message(now, d)
 	}
 	Arrange(d)
-	p.adopt(now, x, b, d)
+	if p.adopt(now, x, b, d); len(b.changes) > 0 || b.seq > 0 {
+		p.stamps(x, b)
+	}
 	if len(b.changes) == 0 { // nothing differs any more: as if answered
 		p.answered(now, b)
 		return Message{}, false
@@ -278,6 +280,9 @@
 	if ch.Kind == SetLevels {
 		x.levels[ch.Class] = Level{}
 		again = false
+	} else if ch.Kind == SetVersion {
+		x.stamped[ch.Class] = ""
+		again = false
 	} else {
 		at := int(k.server)*p.classes() + int(ch.Class)
 		switch {
@@ -376,6 +381,7 @@
 	}
 	p.swept = now
 	p.expire(now)
+	p.pins(now)
 	for i := range p.servers {
 		s := &p.servers[i]
 		if s.gone == 0 || !s.withdrawn || now < s.gone+forgetGone {
@@ -462,8 +468,8 @@
 	var lines []Line
 	for id, t := range p.tables {
 		for i, w := range t.weights {
-			if s := p.servers[i]; w > 0 {
-				lines = append(lines, Line{id, s.id, w, Round(w, t.scale), s.withdrawn})
+			if s := p.servers[i]; w > 0 || p.published(id, t, int32(i)) > 0 {
+				lines = append(lines, Line{id, s.id, w, p.published(id, t, int32(i)), s.withdrawn})
 			}
 		}
 	}
--- a/steer/push.go
+++ b/steer/push.go
@@ -45,6 +45,9 @@
 
 // repush sends a line of a table to all that use it.
 func (p *Plane) repush(now fleet.Time, table fleet.TableID, i int32) {
+	if t := p.tables[table]; t != nil {
+		p.note(now, table, t, "set by hand")
+	}
 	p.users(table, func(x *proxy) {
 		p.touch(x, key{server: i}, false)
 		p.send(now, x, 1, nil)
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -11,6 +11,7 @@
 	"slices"
 
 	"cressknot/fleet"
+	"cressknot/tables"
 )
 
 const (
@@ -63,10 +64,11 @@
 
 // The kinds of changes.
 const (
-	SetLine   Kind = iota // weight, state or both of a line that is there
-	AddLine               // a line that the proxy doesn't have
-	DelLine               // a line of a server gone for good
-	SetLevels             // the level of a class
+	SetLine    Kind = iota // weight, state or both of a line that is there
+	AddLine                // a line that the proxy doesn't have
+	DelLine                // a line of a server gone for good
+	SetLevels              // the level of a class
+	SetVersion             // the version of the table that a class goes by, told last in a message
 )
 
 // Change is one thing that a message changes at a proxy, in absolute values: applied twice it does nothing new.
@@ -76,7 +78,8 @@
 	Server fleet.ServerID
 	Weight int16 // negative: as it is
 	State  State
-	Moved  bool // the server's address has to be set, too
+	Moved  bool   // the server's address has to be set, too
+	Stamp  string // version and digest
 	Level  Level
 }
 
@@ -112,7 +115,8 @@
 	Weight float64 // visits a second that it usually gets
 	Fresh  bool    // holds standing tables only
 	Lines  []SnapshotLine
-	Levels []Level // by class; may be short
+	Levels []Level  // by class; may be short
+	Stamps []string // by class: the version that it was told last; may be short
 }
 
 // SnapshotLine is one line of a snapshot.
@@ -157,6 +161,10 @@
 	heardList bool
 	refused   map[refusalOf]*Refusal
 	pushes    map[push]pushed
+	epoch     uint64
+	name      tables.Names // nil: tables have no versions
+	lines     []tables.Line
+	changed   map[fleet.TableID]bool // by the orders of this step
 	deferrals uint64
 	swept     fleet.Time
 }
@@ -175,6 +183,8 @@
 	weights []float64 // by server index
 	scale   float64   // weight of the runtime API for a weight of 1; 0: not laid
 	levels  []level   // by class
+	book    *tables.Table
+	pin     *pin // nil: goes by the module
 }
 
 type level struct {
@@ -189,8 +199,11 @@
 	on       []fleet.TableID // by class
 	bound    []bool          // by class
 	fresh    bool
-	lines    []int          // by class: usable lines of ready servers in sent
-	sums     []int          // by class: their weights
+	lines    []int    // by class: usable lines of ready servers in sent
+	sums     []int    // by class: their weights
+	stamped  []string // by class: the version that it was told
+	seen     []uint32 // by line: the look that showed it last
+	looks    uint32
 	held     map[key]string // held back by the judge, and why
 	againAt  fleet.Time     // when those are tried again
 	wrote    []fleet.Time   // messages within the time that they are counted over
@@ -237,11 +250,12 @@
 	Proxy   fleet.ProxyID
 	Text    string
 	Refused *Refusal // what was held back, if that is it
+	Table   bool     // it is about no proxy
 }
 
 // New makes an empty plane.
 func New(site fleet.Site) *Plane {
-	return &Plane{site: site, index: map[fleet.ServerID]int32{}, tables: map[fleet.TableID]*table{}, refused: map[refusalOf]*Refusal{}, pushes: map[push]pushed{},
+	return &Plane{site: site, index: map[fleet.ServerID]int32{}, tables: map[fleet.TableID]*table{}, refused: map[refusalOf]*Refusal{}, pushes: map[push]pushed{}, changed: map[fleet.TableID]bool{},
 		every: make([]level, len(site.Classes)), proxies: map[fleet.ProxyID]*proxy{}, paced: -1}
 }
 
@@ -360,7 +374,8 @@
 	n := p.classes()
 	x := &proxy{id: id, zone: snap.Zone, on: make([]fleet.TableID, n), bound: make([]bool, n),
 		pending: map[key]bool{}, levels: make([]Level, n), heard: now, fresh: snap.Fresh, lines: make([]int, n),
-		sums: make([]int, n), held: map[key]string{}}
+		sums: make([]int, n), held: map[key]string{}, stamped: make([]string, n)}
+	copy(x.stamped, snap.Stamps)
 	for _, l := range snap.Lines {
 		p.server(l.Server)
 	}
@@ -464,6 +479,7 @@
 					p.users(o.Table, func(x *proxy) { p.touch(x, key{server: int32(i)}, false) })
 				}
 			}
+			p.changed[o.Table] = true
 			t.scale, t.levels = 0, make([]level, p.classes())
 			p.users(o.Table, func(x *proxy) {
 				lines[x]++
@@ -489,6 +505,12 @@
 			mark = &o
 		}
 	}
+	for _, id := range p.tableIDs() {
+		if p.changed[id] {
+			p.note(now, id, p.tables[id], "")
+		}
+	}
+	clear(p.changed)
 	first := p.seq + 1
 	for _, x := range p.order {
 		n := lines[x]
@@ -500,6 +522,15 @@
 	}
 }
 
+func (p *Plane) tableIDs() []fleet.TableID {
+	ids := make([]fleet.TableID, 0, len(p.tables))
+	for id := range p.tables {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // users calls each proxy that has a class on the table.
 func (p *Plane) users(id fleet.TableID, each func(*proxy)) {
 	for _, x := range p.order {
@@ -514,6 +545,7 @@
 
 func (p *Plane) share(now fleet.Time, o fleet.Share, lines map[*proxy]int) {
 	t, i := p.table(o.Table), p.server(o.Server)
+	p.changed[o.Table] = true
 	before := t.weights[i]
 	t.weights[i] = float64(o.Weight)
 	most := slices.Max(t.weights)
@@ -592,10 +624,7 @@
 		return own
 	}
 	t := p.tables[x.on[c]]
-	want := Cell{State: p.stateOf(s), Weight: Round(t.weights[i], t.scale)}
-	if o, pushed := p.pushes[push{x.on[c], i}]; pushed {
-		want.Weight = o.weight
-	}
+	want := Cell{State: p.stateOf(s), Weight: p.published(x.on[c], t, i)}
 	if want.Present = want.Weight > 0 || x.sent[at].Present; !want.Present {
 		return Cell{}
 	}
--- /dev/null
+++ b/steer/versions.go
@@ -0,0 +1,269 @@
+package steer
+
+import (
+	"fmt"
+	"math"
+
+	"cressknot/fleet"
+	"cressknot/tables"
+)
+
+const (
+	keptLines = 100_000                  // of all deltas of a table: some 4 MB
+	keptFor   = 24 * 3600 * fleet.Second // a bad table is found within a day, or its traffic is long gone
+)
+
+// pin holds a table against the module.
+type pin struct {
+	weights []int16 // by server index: what stands in place of the module's
+	until   fleet.Time
+	why     string
+}
+
+// Epoch begins versions of tables in an epoch, with the names of servers that digests are made of. Without it tables
+// have none.
+func (p *Plane) Epoch(epoch uint64, name tables.Names) { p.epoch, p.name = epoch, name }
+
+// published gives what proxies are to hold of a line's weight: what staff have set, else what the table is pinned to, else
+// what the module wants.
+func (p *Plane) published(id fleet.TableID, t *table, i int32) int16 {
+	if o, pushed := p.pushes[push{id, i}]; pushed {
+		return o.weight
+	}
+	if t.pin != nil {
+		if int(i) < len(t.pin.weights) {
+			return t.pin.weights[i]
+		}
+		return 0
+	}
+	return Round(t.weights[i], t.scale)
+}
+
+// note makes the next version of a table of what is published now.
+func (p *Plane) note(now fleet.Time, id fleet.TableID, t *table, why string) {
+	if p.name == nil {
+		return
+	}
+	if t.book == nil {
+		t.book = tables.New(p.epoch, p.name, tables.Bounds{Lines: keptLines, Age: keptFor})
+	}
+	lines := p.lines[:0]
+	for i := range p.servers {
+		if w := int(p.published(id, t, int32(i))); w != t.book.Weight(p.servers[i].id) {
+			lines = append(lines, tables.Line{Server: p.servers[i].id, Weight: w})
+		}
+	}
+	p.lines = lines
+	t.book.Change(now, lines, why)
+}
+
+// Book gives a table's versions, nil where it has none.
+func (p *Plane) Book(id fleet.TableID) *tables.Table {
+	if t := p.tables[id]; t != nil {
+		return t.book
+	}
+	return nil
+}
+
+// retouch sends all proxies on a table what differs from what they hold.
+func (p *Plane) retouch(now fleet.Time, id fleet.TableID) {
+	p.users(id, func(x *proxy) {
+		n := 0
+		for i := range p.servers {
+			if p.differs(x, int32(i)) {
+				p.touch(x, key{server: int32(i)}, false)
+				n++
+			}
+		}
+		p.send(now, x, n, nil)
+	})
+}
+
+// Pin holds a table as it is until a time.
+func (p *Plane) Pin(now fleet.Time, id fleet.TableID, until fleet.Time) error {
+	t := p.tables[id]
+	if t == nil {
+		return fmt.Errorf("table %d is not there", id)
+	}
+	weights := make([]int16, len(p.servers))
+	for i := range p.servers {
+		weights[i] = p.published(id, t, int32(i))
+	}
+	t.pin = &pin{weights, until, "pinned"}
+	return nil
+}
+
+// Rollback makes a new version of a table with the content of an earlier one, as far as today's servers allow, and pins it
+// until a time. It tells in which lines it had to differ.
+func (p *Plane) Rollback(now fleet.Time, id fleet.TableID, to tables.Version, until fleet.Time) ([]tables.Difference, error) {
+	t := p.tables[id]
+	if t == nil || t.book == nil {
+		return nil, fmt.Errorf("table %d has no versions", id)
+	}
+	allow := func(server fleet.ServerID) string {
+		i := p.server(server)
+		switch s := &p.servers[i]; {
+		case s.state == fleet.Draining:
+			return "draining"
+		case !p.ready(i):
+			return "gone"
+		}
+		return ""
+	}
+	_, differs, err := t.book.Back(now, to, allow)
+	if err != nil {
+		return differs, err
+	}
+	weights := make([]int16, len(p.servers))
+	for i := range p.servers {
+		weights[i] = int16(min(weightMost, t.book.Weight(p.servers[i].id)))
+	}
+	for at := range p.pushes { // a way back goes over what was set by hand
+		if at.table == id {
+			delete(p.pushes, at)
+		}
+	}
+	t.pin = &pin{weights, until, "back to " + to.String()}
+	p.retouch(now, id)
+	return differs, nil
+}
+
+// Unpin lets the module's table count again.
+func (p *Plane) Unpin(now fleet.Time, id fleet.TableID, why string) bool {
+	t := p.tables[id]
+	if t == nil || t.pin == nil {
+		return false
+	}
+	t.pin = nil
+	p.note(now, id, t, why)
+	p.retouch(now, id)
+	return true
+}
+
+// Pinned tells until when a table is pinned and why, 0 for not.
+func (p *Plane) Pinned(id fleet.TableID) (until fleet.Time, why string) {
+	if t := p.tables[id]; t != nil && t.pin != nil {
+		return t.pin.until, t.pin.why
+	}
+	return 0, ""
+}
+
+// pins ends pins whose time is over, and those that would leave a table without a server that may take visits: drains and
+// "nobody bare" act on a pinned table as on any.
+func (p *Plane) pins(now fleet.Time) {
+	for _, id := range p.tableIDs() {
+		t := p.tables[id]
+		if t.pin == nil {
+			continue
+		}
+		usable := false
+		for i, w := range t.pin.weights {
+			usable = usable || w > 0 && p.ready(int32(i)) && !p.servers[i].withdrawn
+		}
+		switch {
+		case now >= t.pin.until:
+			p.Unpin(now, id, "its pin ended")
+		case !usable:
+			p.alarms = append(p.alarms, Alarm{Table: true, Text: fmt.Sprintf("the pin of table %d ended early: no server in it may take visits", id)})
+			p.Unpin(now, id, "its pin left nobody")
+		}
+	}
+}
+
+// stamp gives the version and the digest of the table that a proxy's class goes by, "" where it has none.
+func (p *Plane) stamp(x *proxy, c int) string {
+	if !x.bound[c] {
+		return ""
+	}
+	t := p.tables[x.on[c]]
+	if t == nil || t.book == nil {
+		return ""
+	}
+	return t.book.Version().String() + "/" + t.book.Digest().String()
+}
+
+// stamps adds to a message the versions that the proxy holds once it has read it: only where nothing else waits for it.
+func (p *Plane) stamps(x *proxy, b *parcel) {
+	if len(x.pending) > 0 || len(x.held) > 0 || len(x.failed) > 0 {
+		return
+	}
+	for c := range x.stamped {
+		if s := p.stamp(x, c); s != "" && s != x.stamped[c] {
+			x.stamped[c] = s
+			b.changes = append(b.changes, Change{Kind: SetVersion, Class: fleet.ClassID(c), Stamp: s})
+			b.keys = append(b.keys, key{noServer, fleet.ClassID(c)})
+		}
+	}
+}
+
+// Stamps gives the versions that proxies were told, by proxy and class.
+func (p *Plane) Stamps(each func(id fleet.ProxyID, class fleet.ClassID, stamp string, newest bool)) {
+	for _, x := range p.order {
+		for c, s := range x.stamped {
+			each(x.id, fleet.ClassID(c), s, s != "" && s == p.stamp(x, c) && len(x.flying) == 0)
+		}
+	}
+}
+
+// SeenLine is a line as a poll of a proxy shows it.
+type SeenLine struct {
+	Class  fleet.ClassID
+	Server fleet.ServerID
+	Weight int16 // of a line that takes visits
+	State  State
+}
+
+// Seen compares what a poll shows with what the proxy was sent. What differs was changed by hand, or lost: it is told and put
+// right, with the difference only. While something is on its way nothing can be said.
+func (p *Plane) Seen(now fleet.Time, id fleet.ProxyID, lines []SeenLine) {
+	x := p.proxies[id]
+	if x == nil || len(x.flying) > 0 || len(lines) == 0 {
+		return
+	}
+	if len(x.seen) < len(x.sent) {
+		x.seen = make([]uint32, len(x.sent))
+	}
+	x.looks++
+	differ := 0
+	odd := func(at int, cell Cell) {
+		p.set(x, at, cell)
+		p.touch(x, key{server: int32(at / p.classes())}, true)
+		x.allowed++
+		differ++
+	}
+	for _, l := range lines {
+		i, known := p.index[l.Server]
+		if !known || int(l.Class) >= p.classes() {
+			continue
+		}
+		at := int(i)*p.classes() + int(l.Class)
+		if at >= len(x.seen) {
+			continue
+		}
+		x.seen[at] = x.looks
+		have := x.sent[at]
+		same := have.Present && have.State == l.State && (l.State != In || have.Weight == l.Weight)
+		if have.Unknown || same {
+			continue
+		}
+		cell := Cell{Present: true, Weight: l.Weight, State: l.State, Astray: have.Astray}
+		if l.State != In {
+			cell.Weight = have.Weight
+		}
+		odd(at, cell)
+	}
+	for at, have := range x.sent {
+		if have.Present && !have.Unknown && x.seen[at] != x.looks {
+			odd(at, Cell{})
+		}
+	}
+	if differ > 0 {
+		p.alarms = append(p.alarms, Alarm{Proxy: id, Text: fmt.Sprintf("%d lines are not what it was sent; they are put right", differ)})
+		for c := range x.stamped {
+			x.stamped[c] = ""
+		}
+	}
+	if x.looks == math.MaxUint32 {
+		x.looks, x.seen = 0, nil
+	}
+}
