Add the operators' commands for versions, and a test that all proxies end on one

Staff need history, differences, a way back and pins: 'cressknot table ...' over the operators' socket. What is changed by hand is put right with the difference only.

--- a/cmd/cressknot/main.go
+++ b/cmd/cressknot/main.go
@@ -64,7 +64,7 @@
 		SilenceErrors: true, SilenceUsage: true, Version: serve.Version,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage{err} })
-	root.AddCommand(serveCommand(), checkCommand(), showCommand(), explainCommand(), guardCommand(), replayCommand(),
+	root.AddCommand(serveCommand(), checkCommand(), showCommand(), explainCommand(), guardCommand(), tableCommand(), replayCommand(),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: args(cobra.NoArgs),
 			Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), serve.Version) }})
 	return root
@@ -187,7 +187,7 @@
 			return fmt.Errorf("the governor's answer: %w", err)
 		}
 	}
-	if strings.HasPrefix(text, runtimeapi.UnknownPrefix) || text == runtimeapi.NoServer {
+	if strings.HasPrefix(text, runtimeapi.UnknownPrefix) || text == runtimeapi.NoServer || strings.Contains(text, "Refused: ") {
 		return errors.New(strings.TrimSpace(text))
 	}
 	_, err = io.WriteString(out, text)
@@ -232,6 +232,31 @@
 	return c
 }
 
+func tableCommand() *cobra.Command {
+	table := &cobra.Command{Use: "table", Short: "Versions of a table: history, a way back, pins", Args: args(cobra.NoArgs)}
+	for _, one := range []struct {
+		use, short  string
+		least, most int
+	}{
+		{"history TABLE", "The versions that are kept: when, digest, lines changed, why", 1, 1},
+		{"show TABLE [VERSION]", "The lines of a version, of the present one if none is named", 1, 2},
+		{"diff TABLE VERSION [VERSION]", "What differs between two versions, or from one to the present", 2, 3},
+		{"rollback TABLE VERSION [TIME]", "Go back to the content of a version, pinned for a time (5m)", 2, 3},
+		{"pin TABLE [TIME]", "Hold a table against the module for a time (5m)", 1, 2},
+		{"unpin TABLE", "Let the module's table count again", 1, 1},
+		{"proxies", "Which version each proxy was told, and whether it is the newest", 0, 0},
+	} {
+		verb, _, _ := strings.Cut(one.use, " ")
+		c := &cobra.Command{Use: one.use, Short: one.short, Args: args(cobra.RangeArgs(one.least, one.most))}
+		socket := socketFlag(c)
+		c.RunE = func(c *cobra.Command, a []string) error {
+			return ask(c.OutOrStdout(), socket, append([]string{"table", verb}, a...)...)
+		}
+		table.AddCommand(c)
+	}
+	return table
+}
+
 func replayCommand() *cobra.Command {
 	return &cobra.Command{Use: "replay RECORDS", Short: "Step the module through records and compare its orders",
 		Long: `Step the module through what a governor recorded ('records' in its settings). It must give the same
--- a/governor/files_test.go
+++ b/governor/files_test.go
@@ -44,6 +44,7 @@
 	y.t.Helper()
 	y.plane, y.events = steer.New(testSite()), make(chan front.Event, 1<<16)
 	y.streams, y.why, y.joins = map[fleet.ProxyID]uint64{}, map[fleet.ProxyID]string{}, map[fleet.ProxyID]int{}
+	y.plane.Epoch(uint64(time.Now().UnixNano()), func(id fleet.ServerID) string { name, _ := y.names.Of(id); return name })
 	l := fleet.List{Scope: fleet.ListFull}
 	for _, e := range standing(servers) {
 		id, _ := y.names.Listed(e.Name, e.Addr)
--- a/governor/governor_test.go
+++ b/governor/governor_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -22,6 +24,7 @@
 	"cressknot/internal/standin"
 	"cressknot/list"
 	"cressknot/steer"
+	"cressknot/tables"
 )
 
 const (
@@ -72,6 +75,7 @@
 	y := &yard{t: t, plane: steer.New(testSite()), names: governor.NewNames(), events: make(chan front.Event, 1<<16),
 		streams: map[fleet.ProxyID]uint64{}, why: map[fleet.ProxyID]string{}, joins: map[fleet.ProxyID]int{},
 		start: time.Now(), watch: rules.NewWatch(), parted: map[fleet.ProxyID]time.Time{}}
+	y.plane.Epoch(7, func(id fleet.ServerID) string { name, _ := y.names.Of(id); return name })
 	dir := t.TempDir()
 	l := fleet.List{Scope: fleet.ListFull}
 	for _, e := range standing(servers) {
@@ -158,6 +162,8 @@
 		y.why[e.Proxy] = e.Why.Error()
 	case front.Progress:
 		y.plane.Progress(y.now(), e.Proxy)
+	case front.Polled:
+		y.plane.Seen(y.now(), e.Proxy, e.Reading.Lines)
 	case front.Answer:
 		if y.streams[e.Proxy] == e.Stream {
 			y.plane.Answer(y.now(), e.Proxy, e.Seq, e.Failures)
@@ -331,6 +337,110 @@
 	}
 }
 
+// onNewest tells whether a proxy holds the newest version, by what it says and by what it really holds.
+func (y *yard) onNewest(p *standin.Proxy, servers int) bool {
+	book := y.plane.Book(0)
+	digest := tables.Digest(0)
+	for i := range servers {
+		name := fmt.Sprint("n", i)
+		weight, _ := strconv.Atoi(strings.Fields(p.Held(backend, name) + " x")[0])
+		digest += tables.LineDigest(name, weight)
+	}
+	return digest == book.Digest() && p.Level(backend+".version") == book.Version().String()+"/"+book.Digest().String()
+}
+
+// TestAllEndOnTheSameVersion: through cuts, restarts, changes by hand, slow reading and ways back while others are on their
+// way, every proxy ends on the same checked version; on both fronts.
+func TestAllEndOnTheSameVersion(t *testing.T) {
+	const servers, proxies = 8, 4
+	for _, on := range []string{"sockets", "files"} {
+		t.Run(on, func(t *testing.T) {
+			var y *yard
+			if on == "files" {
+				y = newFolders(t, proxies, servers)
+				y.govern(servers, nil)
+			} else {
+				y = newYard(t, proxies, servers, nil)
+				y.until("joined", y.allJoined)
+			}
+			laid := map[fleet.ProxyID]int{}
+			bind := func() {
+				for i := range y.proxies {
+					if id := fleet.ProxyID(i); laid[id] < y.joins[id] {
+						laid[id] = y.joins[id]
+						y.plane.Order(y.now(), []fleet.Order{fleet.Bind{Proxy: id}})
+					}
+				}
+			}
+			all := func() bool {
+				bind()
+				return !slices.ContainsFunc(y.proxies, func(p *standin.Proxy) bool { return !y.onNewest(p, servers) })
+			}
+			y.lay(servers)
+			y.until("laid", all)
+			good := y.plane.Book(0).Version()
+			rng := rand.New(rand.NewPCG(1, 9))
+			for round := range 12 {
+				y.plane.Order(y.now(), []fleet.Order{fleet.Share{Server: fleet.ServerID(rng.IntN(servers)), Weight: 0.1 + rng.Float32()/2}})
+				p := y.proxies[rng.IntN(proxies)]
+				switch rng.IntN(5) {
+				case 0:
+					p.CutOnce(100 + rng.IntN(200))
+					y.front.Drop(fleet.ProxyID(rng.IntN(proxies)))
+				case 1:
+					p.Down()
+					if err := p.Up(); err != nil {
+						t.Fatal(err)
+					}
+				case 2:
+					if on == "sockets" { // noticed by the next poll
+						p.ByHand("set", "server", backend+"/n2", "weight", "3")
+						p.ByHand("del", "server", backend+"/n1")
+						p.ByHand("set", "server", backend+"/n4", "state", "maint")
+					}
+				case 3:
+					p.ReadSlowly(5 * time.Millisecond)
+				}
+				if round == 6 || round == 9 { // while the last change is on its way, or not yet
+					if _, err := y.plane.Rollback(y.now(), 0, good, y.now()+fleet.Second/2); err != nil && !strings.Contains(err.Error(), "stands already") {
+						t.Fatal(err)
+					}
+				}
+				for id := range y.proxies {
+					y.front.Poll(fleet.ProxyID(id))
+				}
+				for range rng.IntN(3) {
+					y.until("a moment", func() bool { bind(); return true })
+				}
+			}
+			polled := func() bool {
+				for id := range y.proxies {
+					y.front.Poll(fleet.ProxyID(id))
+				}
+				return all()
+			}
+			y.until("all on the newest version", polled)
+			if on == "files" {
+				return // what is changed there is put back as a file
+			}
+			y.until("at rest", y.plane.Idle)
+			y.plane.Alarms()
+			p := y.proxies[1]
+			p.Commands()
+			p.ByHand("set", "server", backend+"/n2", "weight", "3")
+			p.ByHand("set", "server", backend+"/n3", "state", "maint")
+			p.ByHand("del", "server", backend+"/n3")
+			y.until("put right", func() bool { return polled() && y.plane.Idle() })
+			if _, log := p.Commands(); len(log) > 12 {
+				t.Errorf("more than the difference was sent: %q", log)
+			}
+			if alarms := y.plane.Alarms(); len(alarms) == 0 || !strings.Contains(alarms[0].Text, "lines are not what it was sent") {
+				t.Errorf("not told: %+v", alarms)
+			}
+		})
+	}
+}
+
 // TestOddFarEnds: one answers garbage, one never, one calls itself by another's name, one has no map; all are told by
 // name and reason, and a sound one beside them is served.
 func TestOddFarEnds(t *testing.T) {
--- a/governor/operators.go
+++ b/governor/operators.go
@@ -118,6 +118,7 @@
 		{[]string{"show", "refusals"}, "what the guard holds back now, and what is set by hand", (*Operators).showRefusals},
 		{[]string{"set", "weight"}, "<table>/<server> <0-256>: set a line by hand for 5 minutes", (*Operators).setWeight},
 		{[]string{"clear", "weight"}, "<table>/<server>: let the module's weight count again", (*Operators).clearWeight},
+		{[]string{"table"}, "history|show|diff|rollback|pin|unpin T ..., proxies: versions of a table", (*Operators).tableCommand},
 		{[]string{"help"}, "this list", func(o *Operators, c *Core, _ []string) string { return helpText() }},
 	}
 }
--- a/governor/operators_test.go
+++ b/governor/operators_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -21,14 +22,31 @@
 	"cressknot/steer"
 )
 
-// still is a front that reaches nobody.
-type still struct{ sent []steer.Message }
+// still is a front that reaches nobody; what it is sent is answered by acknowledge.
+type still struct {
+	mu   sync.Mutex
+	sent []steer.Message
+}
+
+func (l *Loop) acknowledge() {
+	s := l.front.(*still)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range s.sent {
+		l.post(front.Answer{Proxy: m.Proxy, Stream: 1, Seq: m.Seq})
+	}
+	s.sent = nil
+}
 
 func (s *still) Start(context.Context, front.Sink) error { return nil }
-func (s *still) Send(m steer.Message)                    { s.sent = append(s.sent, m) }
-func (s *still) Poll(fleet.ProxyID)                      {}
-func (s *still) Drop(fleet.ProxyID)                      {}
-func (s *still) Stop(context.Context) error              { return nil }
+func (s *still) Send(m steer.Message) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent = append(s.sent, m)
+}
+func (s *still) Poll(fleet.ProxyID)         {}
+func (s *still) Drop(fleet.ProxyID)         {}
+func (s *still) Stop(context.Context) error { return nil }
 
 type fixedList struct{ doc list.Document }
 
@@ -98,6 +116,26 @@
 			t.Fatalf("not joined: %s", ask("show proxies\n"))
 		}
 	}
+	// A table's versions: what stands, what differs, a pin and its end, a way back that is refused.
+	for end := time.Now().Add(20 * time.Second); !strings.Contains(ask("table proxies\n"), "/"); {
+		if time.Now().After(end) {
+			t.Fatalf("no version was told: %s", ask("table proxies\n"))
+		}
+		loop.acknowledge()
+	}
+	history := strings.Fields(strings.Split(ask("table history 0\n"), "\n")[1])
+	for _, c := range [][2]string{
+		{"table show 0\n", "n1 128"}, {"table show 0 " + history[1] + "\n", "# table 0 version " + history[1]},
+		{"table diff 0 " + history[1] + "\n", "server before after"}, {"table show 0 x.y\n", "is no version"},
+		{"table show 0 zz.9\n", "is not kept"}, {"table pin 0 nonsense\n", "is no time"}, {"table pin 0 1m\n", "is pinned at"},
+		{"table history 0\n", "# pinned until"}, {"table unpin 0\n", "goes by the module again"}, {"table unpin 0\n", "is not pinned"},
+		{"table rollback 0 " + history[1] + "\n", "Refused: that is what stands already"}, {"table rollback 0 zz.9\n", "Refused: version zz.9 is not kept"},
+		{"table history 9\n", "Table 9 is not there"}, {"table\n", "'table' expects"}, {"table pin 0 1m 2m\n", "'table' expects"},
+	} {
+		if answer := ask(c[0]); !strings.Contains(answer, c[1]) {
+			t.Errorf("%q: no %q in %q", c[0], c[1], answer)
+		}
+	}
 	for text, wants := range map[string][]string{
 		"show info\n":                   {"Version: 1.2\n", "List_rev: 4\n", "Proxies_up: 1\n", "Servers: 1\n"},
 		"show servers\n":                {"n1 127.0.0.1:1 a ready - false"},
