--- a/front/haproxy/front.go
+++ b/front/haproxy/front.go
@@ -43,6 +43,7 @@
 	ctx          context.Context
 	cancel       context.CancelFunc
 	dials        sync.WaitGroup
+	sessions     sync.Map // *nbio.Conn to *session
 	streams      atomic.Uint64
 	answerWithin time.Duration // steer.AnswerWithin, but in tests
 	stopping     atomic.Bool
@@ -83,12 +84,13 @@
 	f.engine = nbio.NewEngine(nbio.Config{Name: "runtime", NPoller: f.opt.Pollers, ReadBufferSize: 64 << 10,
 		MaxWriteBufferSize: 64 << 20})
 	f.engine.OnData(func(c *nbio.Conn, data []byte) {
-		if s, ok := c.Session().(*session); ok {
+		if s := f.of(c); s != nil {
 			s.feed(data)
 		}
 	})
 	f.engine.OnClose(func(c *nbio.Conn, err error) {
-		if s, ok := c.Session().(*session); ok {
+		if s := f.of(c); s != nil {
+			f.sessions.Delete(c)
 			s.closed(err)
 		}
 	})
@@ -102,6 +104,16 @@
 	return nil
 }
 
+// of gives the session of a connection. A map of ours orders what the dialing goroutine wrote before what the event loop
+// reads, which the library's own place for it does not.
+func (f *Front) of(c *nbio.Conn) *session {
+	s, ok := f.sessions.Load(c)
+	if !ok {
+		return nil
+	}
+	return s.(*session)
+}
+
 // network tells a Unix socket's path from host:port.
 func network(addr string) string {
 	if strings.Contains(addr, "/") {
@@ -149,11 +161,12 @@
 		return fmt.Errorf("proxy %s: %w", l.proxy.Name, err)
 	}
 	s := &session{link: l, conn: c, stream: l.front.streams.Add(1), keys: map[string]bool{}}
-	c.SetSession(s)
+	l.front.sessions.Store(c, s)
 	l.mu.Lock()
 	l.current = s
 	l.mu.Unlock()
 	if _, err := l.front.engine.AddConn(c); err != nil {
+		l.front.sessions.Delete(c)
 		c.Close()
 		return fmt.Errorf("proxy %s: %w", l.proxy.Name, err)
 	}
--- a/governor/operators.go
+++ b/governor/operators.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -27,10 +28,11 @@
 
 // Operators serves the operators' socket: the runtime API's text protocol, with the commands that "help" lists.
 type Operators struct {
-	loop    *Loop
-	version string
-	engine  *nbio.Engine
-	path    string
+	loop     *Loop
+	version  string
+	engine   *nbio.Engine
+	sessions sync.Map // *nbio.Conn to *runtimeapi.Session
+	path     string
 }
 
 // ServeOperators listens on a Unix socket of mode 0600, or on host:port.
@@ -49,15 +51,16 @@
 			return listenUnix(addr)
 		}})
 	o.engine.OnOpen(func(c *nbio.Conn) {
-		c.SetSession(&runtimeapi.Session{Answer: o.answer})
+		o.sessions.Store(c, &runtimeapi.Session{Answer: o.answer})
 		_ = c.SetReadDeadline(time.Now().Add(idleClose))
 	})
 	o.engine.OnData(func(c *nbio.Conn, data []byte) {
-		s, ok := c.Session().(*runtimeapi.Session)
+		held, ok := o.sessions.Load(c)
 		if !ok {
 			c.Close()
 			return
 		}
+		s := held.(*runtimeapi.Session)
 		_ = c.SetReadDeadline(time.Now().Add(idleClose))
 		reply, done := s.Feed(data)
 		_, _ = c.Write(reply)
@@ -65,6 +68,7 @@
 			c.Close()
 		}
 	})
+	o.engine.OnClose(func(c *nbio.Conn, _ error) { o.sessions.Delete(c) })
 	if err := o.engine.Start(); err != nil {
 		return nil, fmt.Errorf("operators' socket %s: %w", addr, err)
 	}
@@ -154,6 +158,14 @@
 	took, turns := o.loop.Took(50, 99, 100)
 	now := o.loop.now()
 	passed, stopped := c.guard.Counts()
+	versions, changed, whole := 0, 0, 0
+	for _, id := range c.plane.TableIDs() {
+		if book := c.plane.Book(id); book != nil {
+			for _, d := range book.History()[min(1, len(book.History())):] { // the first is the whole
+				versions, changed, whole = versions+1, changed+len(d.Lines), whole+book.Len()
+			}
+		}
+	}
 	var b strings.Builder
 	for _, p := range [][2]any{{"Name", "cressknot"}, {"Version", o.version}, {"Pid", os.Getpid()},
 		{"Uptime_sec", int64((now - c.started) / fleet.Second)}, {"Servers", len(c.entries)}, {"List_rev", c.rev},
@@ -161,7 +173,7 @@
 		{"Proxies_all", len(c.proxies)}, {"Turns", turns}, {"Steps", c.steps}, {"Turn_p50_us", took[0] / 1000},
 		{"Turn_p99_us", took[1] / 1000}, {"Turn_most_us", took[2] / 1000}, {"Lines_waiting", int64(c.plane.Lines())},
 		{"Lines_sent", lines}, {"Messages_sent", messages}, {"Changes_sent", changes}, {"Lines_replaced", folded},
-		{"Reports_waiting", c.gather.Waiting()}, {"Guard_passed", passed}, {"Guard_stopped", stopped}, {"Counter_resets", c.gather.Resets()}, {"Readings_folded", o.loop.Folded()}} {
+		{"Reports_waiting", c.gather.Waiting()}, {"Versions", versions}, {"Delta_share_percent", fmt.Sprintf("%.1f", 100*float64(changed)/float64(max(1, whole)))}, {"Guard_passed", passed}, {"Guard_stopped", stopped}, {"Counter_resets", c.gather.Resets()}, {"Readings_folded", o.loop.Folded()}} {
 		fmt.Fprintf(&b, "%s: %v\n", p[0], p[1])
 	}
 	return b.String()
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -500,6 +500,11 @@
 	r.Rules = p.watch.Judge(f)
 	r.Length = time.Duration(d.Length).Seconds()
 	r.Classes = p.tally.classes(d)
+	slices.Sort(r.Backs)
+	r.Versions = map[string]int{}
+	for _, x := range p.proxies {
+		r.Versions[x.Level(d.Classes[0].Name+".version")]++
+	}
 	slices.Sort(r.Falls.FromFall)
 	slices.Sort(r.Falls.FromTold)
 }
--- a/internal/drill/report.go
+++ b/internal/drill/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -24,6 +25,8 @@
 	Weights                    []Weights       `json:"weights"`
 	Governors                  []Governor      `json:"governors"`
 	Falls                      Falls           `json:"falls"`
+	Backs                      []float64       `json:"backs_s,omitempty"` // from a way back until a proxy held it, sorted
+	Versions                   map[string]int  `json:"versions"`          // of the first class's tables that proxies ended on
 	PushesTaken, PushesRefused int             // weights that staff set by hand
 	Troubles                   []string        `json:"troubles,omitempty"` // of the drill itself: such a run counts for nothing
 }
@@ -186,9 +189,21 @@
 	if r.PushesTaken+r.PushesRefused > 0 {
 		fmt.Fprintf(out, "\nweights set by hand: %d taken, %d refused\n", r.PushesTaken, r.PushesRefused)
 	}
+	if n := len(r.Backs); n > 0 {
+		fmt.Fprintf(out, "from the command to go back until a proxy held that version: p50 %.3f s, p99 %.3f s, most %.3f s; %d proxies\n",
+			quantile(r.Backs, 0.5), quantile(r.Backs, 0.99), r.Backs[n-1], n)
+	}
+	if n := len(r.Versions); n > 0 {
+		fmt.Fprintf(out, "versions that proxies ended on:")
+		for _, text := range slices.Sorted(maps.Keys(r.Versions)) {
+			fmt.Fprintf(out, " %s %d", text, r.Versions[text])
+		}
+		fmt.Fprintln(out)
+	}
 	for _, g := range r.Governors {
 		if g.Info["Guard_stopped"] != "" {
-			fmt.Fprintf(out, "guard of %s: %s proposals passed, %s held back or lowered\n", g.Name, g.Info["Guard_passed"], g.Info["Guard_stopped"])
+			fmt.Fprintf(out, "guard of %s: %s proposals passed, %s held back or lowered; %s versions, a delta is %s%% of the whole\n", g.Name,
+				g.Info["Guard_passed"], g.Info["Guard_stopped"], g.Info["Versions"], g.Info["Delta_share_percent"])
 		}
 	}
 	for _, t := range r.Troubles {
--- a/internal/drill/troubles.go
+++ b/internal/drill/troubles.go
@@ -65,6 +65,7 @@
 	"cut":         (*play).cut,
 	"slow-reader": (*play).slowReader,
 	"push":        (*play).pushTables,
+	"bad-table":   (*play).badTable,
 }
 
 func or(size, otherwise float64) float64 {
@@ -460,3 +461,72 @@
 		}
 	}
 }
+
+// badTable lets staff force a poor table on each governor and go back after a while. It measures how long it takes from
+// the command until each proxy says that it holds the version gone back to.
+func (p *play) badTable(ctx context.Context, t Trouble) {
+	for g, own := range p.governors {
+		history, err := ask(own.socket, "table history 0\n")
+		lines := strings.Split(strings.TrimSpace(history), "\n")
+		if err != nil || len(lines) < 2 {
+			p.trouble("%s has no history: %v %s", own.name, err, history)
+			return
+		}
+		good := strings.Fields(lines[len(lines)-1])[1]
+		for i, n := range p.nodes {
+			weight := 1
+			if i == 0 {
+				weight = 256
+			}
+			p.set(own, n.Name, weight)
+		}
+		p.background.Add(1)
+		go func() {
+			defer p.background.Done()
+			if !wait(ctx, t.For) {
+				return
+			}
+			began := time.Now()
+			answer, err := ask(own.socket, "table rollback 0 "+good+" 5m\n")
+			_, version, ok := strings.Cut(answer, "as version ")
+			if version, _, _ = strings.Cut(version, ","); err != nil || !ok {
+				p.trouble("%s: rollback: %v %s", own.name, err, answer)
+				return
+			}
+			left := map[int]bool{}
+			for i := range p.proxies {
+				if p.ownerOf[i] == g {
+					left[i] = true
+				}
+			}
+			for key := p.Day.Classes[0].Name + ".version"; len(left) > 0 && time.Since(began) < 10*time.Second && ctx.Err() == nil; sleep(ctx, lookEvery/2) {
+				for i := range left {
+					if strings.HasPrefix(p.proxies[i].Level(key), version+"/") {
+						delete(left, i)
+						p.mu.Lock()
+						p.report.Backs = append(p.report.Backs, time.Since(began).Seconds())
+						p.mu.Unlock()
+					}
+				}
+			}
+			if len(left) > 0 {
+				p.trouble("%d proxies of %s did not come to version %s", len(left), own.name, version)
+			}
+		}()
+	}
+}
+
+// set sets a weight by hand, with force where that is offered.
+func (p *play) set(own *governor, node string, weight int) {
+	answer, err := ask(own.socket, fmt.Sprintf("set weight 0/%s %d\n", node, weight))
+	if _, forced, offered := strings.Cut(answer, "within 30 s: "); err == nil && offered {
+		answer, err = ask(own.socket, strings.TrimSpace(forced)+"\n")
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err == nil && strings.TrimSpace(answer) == "" {
+		p.report.PushesTaken++
+	} else {
+		p.report.PushesRefused++
+	}
+}
--- a/steer/versions.go
+++ b/steer/versions.go
@@ -57,6 +57,9 @@
 	t.book.Change(now, lines, why)
 }
 
+// TableIDs gives the tables that there are, in order.
+func (p *Plane) TableIDs() []fleet.TableID { return p.tableIDs() }
+
 // Book gives a table's versions, nil where it has none.
 func (p *Plane) Book(id fleet.TableID) *tables.Table {
 	if t := p.tables[id]; t != nil {
