--- a/tables/tables_test.go
+++ b/tables/tables_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math"
 	"os"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -353,3 +354,23 @@
 		}
 	}
 }
+
+func BenchmarkMemoryOfAVersion(b *testing.B) { // of 10 lines changed, of a table of 700
+	t := big(700)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	n := 0
+	for b.Loop() {
+		lines := make([]Line, 10)
+		for j := range lines {
+			lines[j] = Line{Server: fleet.ServerID((n*13 + j*70) % 700), Weight: 1 + (n+j)%200}
+		}
+		t.Change(2, lines, "")
+		n++
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "B/version")
+	runtime.KeepAlive(t)
+}
