--- a/internal/drill/day.go
+++ b/internal/drill/day.go
@@ -10,11 +10,12 @@
 	"os"
 	"path"
 	"strings"
-	"time"
 
 	"cuelang.org/go/cue"
 	"cuelang.org/go/cue/cuecontext"
 	cueerrors "cuelang.org/go/cue/errors"
+
+	"cressknot/config"
 )
 
 //go:embed day.cue
@@ -24,14 +25,7 @@
 var days embed.FS
 
 // Span is a time with its unit, as "2s".
-type Span time.Duration
-
-// UnmarshalText reads it.
-func (s *Span) UnmarshalText(text []byte) error {
-	d, err := time.ParseDuration(string(text))
-	*s = Span(d)
-	return err
-}
+type Span = config.Duration
 
 // Trouble is one thing that goes wrong.
 type Trouble struct {
