--- a/guard/guard.go
+++ b/guard/guard.go
@@ -49,12 +49,12 @@
 type server struct {
 	fleet.Entry
 	samples  []sample
-	capacity float64                   // visits a second of ours at a busy share of 1, as last measured
-	carried  float64                   // visits a second of ours that it was seen to handle when that was measured
-	at       fleet.Time                // of that
-	loads    map[fleet.ProxyID]float64 // while cold: the most that each proxy may send, visits a second
-	total    float64                   // of loads
-	bears    float64                   // as worked out at bearsAt
+	capacity float64    // visits a second of ours at a busy share of 1, as last measured
+	carried  float64    // visits a second of ours that it was seen to handle when that was measured
+	at       fleet.Time // of that
+	loads    []float64  // by proxy, while cold: the most that each may send, visits a second
+	total    float64    // of loads
+	bears    float64    // as worked out at bearsAt
 	bearsAt  fleet.Time
 }
 
@@ -73,7 +73,8 @@
 	ready   int                      // servers listed as ready
 	kinds   map[fleet.KindID]float64 // what a cold server of a kind is taken to reach, as worked out at kindsAt
 	kindsAt fleet.Time
-	sums    []int // kept for its room
+	sums    []int     // kept for its room
+	each    []float64 // the same
 	passed  uint64
 	stopped uint64
 }
@@ -127,11 +128,10 @@
 			g.servers[e.Server] = s
 		}
 		if listed[e.Server] = true; e.Started != s.Started { // started anew, perhaps while it was still warming
-			s.samples, s.bearsAt = nil, 0   // what proxies may send it stands: they hold the same lines
-			for id, load := range s.loads { // but for those gone so long that they are another's, or none
-				if p := g.proxies[id]; p != nil && p.left > 0 && now > p.left+g.site.ColdFor {
-					delete(s.loads, id)
-					s.total -= load
+			s.samples, s.bearsAt = nil, 0 // what proxies may send it stands: they hold the same lines
+			for id := range s.loads {     // but for those gone so long that they are another's, or none
+				if p := g.proxies[fleet.ProxyID(id)]; p != nil && p.left > 0 && now > p.left+g.site.ColdFor {
+					s.send(fleet.ProxyID(id), 0)
 				}
 			}
 		}
@@ -148,6 +148,23 @@
 	}
 }
 
+// sends gives what a proxy may send to a cold server.
+func (s *server) sends(p fleet.ProxyID) float64 {
+	if int(p) >= len(s.loads) {
+		return 0
+	}
+	return s.loads[p]
+}
+
+// send notes what a proxy may send to a cold server.
+func (s *server) send(p fleet.ProxyID, load float64) {
+	if int(p) >= len(s.loads) {
+		s.loads = append(s.loads, make([]float64, int(p)+1-len(s.loads))...)
+	}
+	s.total = max(0, s.total+load-s.loads[p])
+	s.loads[p] = load
+}
+
 // measure works a server's capacity out from its latest reports: visits of ours that it handled over its busy share.
 // What it handled is what it can at least.
 func (g *Guard) measure(now fleet.Time, s *server) {
@@ -235,7 +252,10 @@
 // Bearable gives the visits a second of ours that a cold server bears: so many that within any span that counts, chance
 // included, they stay under the stated multiple of what it can now.
 func (g *Guard) Bearable(now fleet.Time, id fleet.ServerID) float64 {
-	s := g.servers[id]
+	return g.bearable(now, g.servers[id])
+}
+
+func (g *Guard) bearable(now fleet.Time, s *server) float64 {
 	if s == nil || !g.cold(now, s) {
 		return math.Inf(1)
 	}
@@ -308,11 +328,8 @@
 		if s == nil {
 			continue
 		}
-		if s.loads == nil {
-			s.loads = map[fleet.ProxyID]float64{}
-		}
-		if was := s.loads[d.Proxy]; afresh || load > was {
-			s.loads[d.Proxy], s.total = load, s.total+load-was
+		if afresh || load > s.sends(d.Proxy) {
+			s.send(d.Proxy, load)
 		}
 	}
 }
@@ -325,7 +342,7 @@
 	loads := g.loads(d, coldLines(d, false), d.Sum)
 	if d.Alone {
 		for id, s := range g.servers {
-			if _, was := s.loads[d.Proxy]; was {
+			if s.sends(d.Proxy) > 0 {
 				loads[id] = max(loads[id], 0) // none, where it has no line any more
 			}
 		}
@@ -497,26 +514,24 @@
 			g.sums[p.Class] += p.Adds()
 		}
 	}
+	g.each = g.each[:0]
+	for c := range d.Sum { // visits a second that a weight of one brings
+		g.each = append(g.each, g.Demand(d.Proxy, fleet.ClassID(c))/float64(max(1, g.sums[c])))
+	}
 	for i := 0; i < len(d.Cold); {
 		id, load := d.Cold[i].Server, 0.0
 		for ; i < len(d.Cold) && d.Cold[i].Server == id; i++ { // a server's lines stand together
-			l := &d.Cold[i]
-			load += g.Demand(d.Proxy, l.Class) * float64(l.Cell.Weight) / float64(max(1, g.sums[l.Class]))
+			load += g.each[d.Cold[i].Class] * float64(d.Cold[i].Cell.Weight)
 		}
 		s := g.servers[id]
 		if s == nil {
 			continue
 		}
-		if was := s.loads[d.Proxy]; load > was {
-			if load-was+s.total > g.Bearable(now, id) {
-				return false // the slow way tells
-			}
-			if s.loads == nil {
-				s.loads = map[fleet.ProxyID]float64{}
-			}
-			s.loads[d.Proxy], s.total = load, s.total+load-was
-		} else if s.total > g.Bearable(now, id) {
-			return false
+		switch was := s.sends(d.Proxy); {
+		case max(0, load-was)+s.total > g.bearable(now, s):
+			return false // the slow way tells
+		case load > was:
+			s.send(d.Proxy, load)
 		}
 	}
 	return true
@@ -563,10 +578,7 @@
 	if s == nil {
 		return 0
 	}
-	if len(s.loads) == 0 || len(s.loads) == 1 && s.loads[but] > 0 {
-		s.total = s.loads[but] // sums of floats drift: begin anew where that is plain
-	}
-	return max(0, s.total-s.loads[but])
+	return max(0, s.total-s.sends(but))
 }
 
 // sumsAfter gives the weights of each class's usable lines of ready servers after the message.
