Check what a proxy says it holds when it is read back; test pins and ways back

A proxy changed while its governor was away was put right but nobody was told. The digest of its lines is compared with the version that it says it holds.

--- a/governor/governor_test.go
+++ b/governor/governor_test.go
@@ -441,6 +441,29 @@
 	}
 }
 
+// TestReadBackIsChecked: a proxy that says it holds a version and was changed while nobody looked is told and put right; one
+// that holds what it says is left alone.
+func TestReadBackIsChecked(t *testing.T) {
+	const servers = 5
+	y := newYard(t, 2, servers, nil)
+	y.until("joined", y.allJoined)
+	y.lay(servers)
+	y.until("laid", func() bool {
+		return y.onNewest(y.proxies[0], servers) && y.onNewest(y.proxies[1], servers) && y.plane.Idle()
+	})
+	y.plane.Alarms()
+	y.front.Drop(0)
+	y.front.Drop(1)
+	y.proxies[1].ByHand("set", "server", backend+"/n2", "weight", "7")
+	y.until("joined again", func() bool { return y.joins[0] == 2 && y.joins[1] == 2 })
+	alarms := y.plane.Alarms()
+	if len(alarms) != 1 || alarms[0].Proxy != 1 || !strings.Contains(alarms[0].Text, "it says that it holds version") {
+		t.Errorf("alarms %+v", alarms)
+	}
+	y.plane.Order(y.now(), []fleet.Order{fleet.Bind{Proxy: 0}, fleet.Bind{Proxy: 1}})
+	y.until("put right", func() bool { return y.onNewest(y.proxies[1], servers) && y.plane.Idle() })
+}
+
 // TestOddFarEnds: one answers garbage, one never, one calls itself by another's name, one has no map; all are told by
 // name and reason, and a sound one beside them is served.
 func TestOddFarEnds(t *testing.T) {
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -389,6 +389,7 @@
 	}
 	copy(x.levels, snap.Levels)
 	x.own = slices.Clone(x.sent)
+	p.verify(x, snap.Lines)
 	p.proxies[id] = x
 	at, _ := slices.BinarySearchFunc(p.order, id, func(x *proxy, id fleet.ProxyID) int { return cmp.Compare(x.id, id) })
 	p.order = slices.Insert(p.order, at, x)
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"os"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -514,6 +515,61 @@
 	}
 }
 
+// TestPins: a pinned table stands against the module, whose orders count again after; drains act on it; a pin that would
+// leave nobody ends early, with one alarm; a way back leaves out what is gone today and names it.
+func TestPins(t *testing.T) {
+	p, now := laid(t, site(), 2, 6)
+	p.Epoch(9, func(id fleet.ServerID) string { return fmt.Sprint("n", id) })
+	run := func(seconds float64) {
+		for end := now + fleet.Second.Scale(seconds); now < end; now += 20 * fleet.Millisecond {
+			out, _, _, _ := p.Next(now)
+			for _, m := range out {
+				p.Answer(now, m.Proxy, m.Seq, nil)
+			}
+		}
+	}
+	weight := func(server int) int16 { return p.proxies[0].sent[server*2].Weight }
+	p.Order(now, []fleet.Order{fleet.Share{Server: 0, Weight: 0.6}})
+	run(1)
+	first, stood := p.Book(0).Version(), weight(0)
+	if err := p.Pin(now, 0, now+3*fleet.Second); err != nil {
+		t.Fatal(err)
+	}
+	p.Order(now, []fleet.Order{fleet.Share{Server: 0, Weight: 0.9}})
+	if run(1); weight(0) != stood || p.Book(0).Version() != first {
+		t.Errorf("a pinned line went from %d to %d", stood, weight(0))
+	}
+	if run(4); weight(0) == stood || p.Book(0).Version() == first {
+		t.Errorf("after the pin's end the module's order does not count")
+	}
+	second := p.Book(0).Version()
+	p.List(now, fleet.List{Scope: fleet.ListDelta, Entries: []fleet.Entry{{Server: 5, State: fleet.Draining}}})
+	differs, err := p.Rollback(now, 0, first, now+60*fleet.Second)
+	if err != nil || len(differs) != 1 || differs[0].Server != 5 || differs[0].Why != "draining" {
+		t.Errorf("differs %v, %v", differs, err)
+	}
+	if run(1); weight(0) != stood || weight(5) != 0 || p.Book(0).Version().Compare(second) <= 0 {
+		t.Errorf("back at %d and %d, not %d and 0", weight(0), weight(5), stood)
+	}
+	p.Alarms()
+	var l fleet.List
+	l.Scope = fleet.ListDelta
+	for id := range fleet.ServerID(5) { // all that the pinned table has
+		l.Entries = append(l.Entries, fleet.Entry{Server: id, State: fleet.Gone})
+	}
+	p.List(now, l)
+	run(3)
+	if until, _ := p.Pinned(0); until != 0 {
+		t.Error("a pin that leaves nobody goes on")
+	}
+	if alarms := p.Alarms(); len(alarms) != 1 || !strings.Contains(alarms[0].Text, "ended early") {
+		t.Errorf("alarms %+v", alarms)
+	}
+	if _, err := p.Rollback(now, 0, first, now+60*fleet.Second); err == nil || !strings.Contains(err.Error(), "nothing of version") {
+		t.Errorf("back to servers that are all gone: %v", err)
+	}
+}
+
 // TestGoneLinesAreDeleted: a server gone for long loses its lines; one with visits is tried again later.
 func TestGoneLinesAreDeleted(t *testing.T) {
 	p, now := laid(t, site(), 1, 4)
--- a/steer/versions.go
+++ b/steer/versions.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 
 	"cressknot/fleet"
 	"cressknot/tables"
@@ -199,6 +200,31 @@
 	}
 }
 
+// verify compares what a proxy was found to hold with the version that it says it holds. What differs is put right as any
+// difference; staff are told, as somebody changed it while nobody looked, or it was set back.
+func (p *Plane) verify(x *proxy, lines []SnapshotLine) {
+	if p.name == nil {
+		return
+	}
+	for c, said := range x.stamped {
+		_, digest, ok := strings.Cut(said, "/")
+		if !ok {
+			continue
+		}
+		held := tables.Digest(0)
+		for _, l := range lines {
+			if int(l.Class) == c {
+				held += tables.LineDigest(p.name(l.Server), int(l.Cell.Weight))
+			}
+		}
+		if held.String() != digest {
+			x.stamped[c] = ""
+			p.alarms = append(p.alarms, Alarm{Proxy: x.id, Text: fmt.Sprintf("it says that it holds version %s, but its lines of class %d have digest %s; they are put right",
+				said, c, held)})
+		}
+	}
+}
+
 // Stamps gives the versions that proxies were told, by proxy and class.
 func (p *Plane) Stamps(each func(id fleet.ProxyID, class fleet.ClassID, stamp string, newest bool)) {
 	for _, x := range p.order {
