Spell levels once for both fronts; keep tuned times out of the operators' commands

Both fronts named the entries of levels, their values and the wait at a stop themselves, and how long pushes, pins and forces last stood in the commands' files. They stand once in front/, and beside the decisions in steer/ and guard/ now.

--- a/front/files/format.go
+++ b/front/files/format.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strconv"
 	"strings"
+
+	"cressknot/front"
 )
 
 // Names of the files in a proxy's folder. The governor writes the first two, the proxy the others; every one is written
@@ -166,8 +168,6 @@
 	return t, nil
 }
 
-const versionKey = ".version" // behind a class's name in the layer: version and digest of its table
-
 // EncodeLevels writes the levels' file, with the versions of the classes' tables.
 func EncodeLevels(version string, levels map[string]int, stamps map[string]string) ([]byte, error) {
 	all := map[string]any{}
@@ -175,7 +175,7 @@
 		all[k] = v
 	}
 	for class, stamp := range stamps {
-		all[class+versionKey] = stamp
+		all[class+front.VersionKey] = stamp
 	}
 	text, err := json.Marshal(runtimeLayer{rtdsType, layer, all})
 	if err != nil {
@@ -202,7 +202,7 @@
 	}
 	levels, stamps = map[string]int{}, map[string]string{}
 	for k, v := range l.Layer {
-		class, isVersion := strings.CutSuffix(k, versionKey)
+		class, isVersion := strings.CutSuffix(k, front.VersionKey)
 		switch v := v.(type) {
 		case string:
 			if isVersion {
--- a/front/files/front.go
+++ b/front/files/front.go
@@ -303,7 +303,7 @@
 			o.levels, o.stamps = levels, stamps
 			for c, class := range f.opt.Classes {
 				amount, told := levels[f.amountKey(class.Name)]
-				retry, too := levels[class.Name+".retry"]
+				retry, too := levels[class.Name+front.RetryKey]
 				if amount == f.amountAll() {
 					amount = -1
 				}
@@ -318,19 +318,9 @@
 var states = map[string]steer.State{healthIn: steer.In, healthEnds: steer.Drain, healthSick: steer.Out}
 var healths = map[steer.State]string{steer.In: healthIn, steer.Drain: healthEnds, steer.Out: healthSick}
 
-func (f *Front) amountKey(class string) string {
-	if f.opt.Admission == fleet.AdmitRate {
-		return class + ".rate"
-	}
-	return class + ".share"
-}
+func (f *Front) amountKey(class string) string { return front.AmountKey(f.opt.Admission, class) }
 
-func (f *Front) amountAll() int {
-	if f.opt.Admission == fleet.AdmitRate {
-		return 1_000_000_000
-	}
-	return 1000
-}
+func (f *Front) amountAll() int { return int(front.AmountAll(f.opt.Admission)) }
 
 // silent ends a stream whose proxy has written nothing for long.
 func (o *folder) silent(now time.Time) {
@@ -399,7 +389,7 @@
 				amount = f.amountAll()
 			}
 			name := f.opt.Classes[c.Class].Name
-			o.levels[f.amountKey(name)], o.levels[name+".retry"] = amount, int(c.Level.Retry)
+			o.levels[f.amountKey(name)], o.levels[name+front.RetryKey] = amount, int(c.Level.Retry)
 			o.levelsAt = o.version
 			continue
 		}
@@ -507,14 +497,7 @@
 
 // Stop waits for acknowledgements for as long as the context stands. The files stay: proxies go on by them.
 func (f *Front) Stop(ctx context.Context) error {
-	tick := time.NewTicker(20 * time.Millisecond)
-	defer tick.Stop()
-	for f.busy() && ctx.Err() == nil {
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-		}
-	}
+	front.Settle(ctx, f.busy)
 	f.cancel()
 	for _, o := range f.folders {
 		o.mu.Lock()
--- a/front/haproxy/encode.go
+++ b/front/haproxy/encode.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"cressknot/fleet"
+	"cressknot/front"
 	"cressknot/runtimeapi"
 	"cressknot/steer"
 )
@@ -85,11 +86,11 @@
 			amount = e.s.amountAll()
 		}
 		e.pair(e.s.amountKey(class), strconv.Itoa(int(amount)))
-		e.pair(class+".retry", strconv.Itoa(int(c.Level.Retry)))
+		e.pair(class+front.RetryKey, strconv.Itoa(int(c.Level.Retry)))
 		return
 	}
 	if c.Kind == steer.SetVersion {
-		e.pair(e.s.link.front.opt.Classes[c.Class].Name+versionKey, c.Stamp)
+		e.pair(e.s.link.front.opt.Classes[c.Class].Name+front.VersionKey, c.Stamp)
 		return
 	}
 	name, addr := e.s.link.front.opt.Names.Of(c.Server)
--- a/front/haproxy/front.go
+++ b/front/haproxy/front.go
@@ -210,14 +210,7 @@
 // Stop waits until what was sent is answered, for as long as the context stands, then closes all sessions.
 func (f *Front) Stop(ctx context.Context) error {
 	f.stopping.Store(true)
-	tick := time.NewTicker(10 * time.Millisecond)
-	defer tick.Stop()
-	for f.busy() && ctx.Err() == nil {
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-		}
-	}
+	front.Settle(ctx, f.busy)
 	f.cancel()
 	f.dials.Wait()
 	for id := range f.links {
--- a/front/haproxy/session.go
+++ b/front/haproxy/session.go
@@ -63,9 +63,6 @@
 
 const (
 	steeredKey = "cressknot.steered" // in the map: this proxy has had messages of a governor since its start
-	versionKey = ".version"          // behind a class's name: version and digest of the table that it goes by
-	shareAll   = 1000
-	rateAll    = 1_000_000_000
 )
 
 // begin asks for what the proxy holds.
@@ -291,7 +288,7 @@
 		s.held.Fresh = false
 		return
 	}
-	if name, is := strings.CutSuffix(key, versionKey); is {
+	if name, is := strings.CutSuffix(key, front.VersionKey); is {
 		for c, class := range s.link.front.opt.Classes {
 			if class.Name == name {
 				s.held.Stamps[c] = string(value)
@@ -309,26 +306,18 @@
 			if n == int64(s.amountAll()) {
 				l.Amount = -1
 			}
-		case key == class.Name+".retry":
+		case key == class.Name+front.RetryKey:
 			l.Retry = fleet.Retry(n)
 		}
-		l.Known = s.keys[s.amountKey(class.Name)] && s.keys[class.Name+".retry"]
+		l.Known = s.keys[s.amountKey(class.Name)] && s.keys[class.Name+front.RetryKey]
 	}
 }
 
 func (s *session) amountKey(class string) string {
-	if s.link.front.opt.Admission == fleet.AdmitRate {
-		return class + ".rate"
-	}
-	return class + ".share"
+	return front.AmountKey(s.link.front.opt.Admission, class)
 }
 
-func (s *session) amountAll() int32 {
-	if s.link.front.opt.Admission == fleet.AdmitRate {
-		return rateAll
-	}
-	return shareAll
-}
+func (s *session) amountAll() int32 { return front.AmountAll(s.link.front.opt.Admission) }
 
 func (s *session) polled() front.Event {
 	r := s.reading
--- /dev/null
+++ b/front/levels.go
@@ -0,0 +1,45 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"cressknot/fleet"
+)
+
+// Names and values of levels, which all fronts write alike: "CLASS.share" in thousandths of the visits, or "CLASS.rate" in
+// thousandths a second; "CLASS.retry"; and the version of the class's table.
+const (
+	RetryKey   = ".retry"
+	VersionKey = ".version"
+	shareAll   = 1000
+	rateAll    = 1_000_000_000
+)
+
+// AmountKey names a class's amount.
+func AmountKey(how fleet.Admission, class string) string {
+	if how == fleet.AdmitRate {
+		return class + ".rate"
+	}
+	return class + ".share"
+}
+
+// AmountAll is the amount that lets all in.
+func AmountAll(how fleet.Admission) int32 {
+	if how == fleet.AdmitRate {
+		return rateAll
+	}
+	return shareAll
+}
+
+// Settle waits until nothing is outstanding, or the context ends.
+func Settle(ctx context.Context, busy func() bool) {
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for busy() && ctx.Err() == nil {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+		}
+	}
+}
--- a/governor/push.go
+++ b/governor/push.go
@@ -8,12 +8,7 @@
 	"cressknot/fleet"
 	"cressknot/guard"
 	"cressknot/runtimeapi"
-)
-
-const (
-	pushFor   = 300 * fleet.Second // a weight set by hand lasts so long: staff look again, or forget it
-	forceFor  = 30 * fleet.Second  // a refusal may be forced within so long
-	forceMost = 64                 // forces that wait
+	"cressknot/steer"
 )
 
 // force is a push that was refused and may be forced.
@@ -53,12 +48,12 @@
 	if len(harms) > 0 && !(may && forced) {
 		return c.refusal(now, what, harms, may)
 	}
-	c.plane.Push(now, table, server, int16(weight), now+pushFor)
+	c.plane.Push(now, table, server, int16(weight), now+steer.PushFor)
 	note := ""
 	if forced {
 		note = ", forced"
 	}
-	c.logs = append(c.logs, Line{now, "warn", "staff", fmt.Sprintf("%s was set to %d by hand for %.0f s%s", args[0], weight, pushFor.Seconds(), note)})
+	c.logs = append(c.logs, Line{now, "warn", "staff", fmt.Sprintf("%s was set to %d by hand for %.0f s%s", args[0], weight, steer.PushFor.Seconds(), note)})
 	return ""
 }
 
@@ -147,14 +142,14 @@
 			delete(c.forces, token)
 		}
 	}
-	if len(c.forces) >= forceMost {
+	if len(c.forces) >= guard.ForceMost {
 		b.WriteString("Too many refusals wait to be forced.\n")
 		return b.String()
 	}
 	c.tokens++
 	token := fmt.Sprintf("f%d", c.tokens)
-	c.forces[token] = force{what, now + forceFor}
-	fmt.Fprintf(&b, "To force it all the same, within %.0f s: set weight %s force %s\n", forceFor.Seconds(), what, token)
+	c.forces[token] = force{what, now + guard.ForceFor}
+	fmt.Fprintf(&b, "To force it all the same, within %.0f s: set weight %s force %s\n", guard.ForceFor.Seconds(), what, token)
 	return b.String()
 }
 
--- a/governor/tables.go
+++ b/governor/tables.go
@@ -9,14 +9,10 @@
 	"time"
 
 	"cressknot/fleet"
+	"cressknot/steer"
 	"cressknot/tables"
 )
 
-const (
-	pinFor  = 300 * fleet.Second       // a pin or a way back lasts so long unless said otherwise: until staff look again
-	pinMost = 24 * 3600 * fleet.Second // a pin that is forgotten ends within a day
-)
-
 // tableCommand is "table history|show|diff|rollback|pin|unpin|proxies ...".
 func (o *Operators) tableCommand(c *Core, args []string) string {
 	const usage = "'table' expects history T, show T [VERSION], diff T VERSION [VERSION], rollback T VERSION [TIME], pin T [TIME], unpin T, proxies.\n"
@@ -44,10 +40,10 @@
 	}
 	until := func(text []string) (fleet.Time, string) {
 		if len(text) == 0 {
-			return now + pinFor, ""
+			return now + steer.PinFor, ""
 		}
 		d, err := time.ParseDuration(text[0])
-		if t := fleet.Time(d); err != nil || t <= 0 || t > pinMost {
+		if t := fleet.Time(d); err != nil || t <= 0 || t > steer.PinMost {
 			return 0, fmt.Sprintf("'%s' is no time from 1s to 24h.\n", text[0])
 		}
 		return now + fleet.Time(d), ""
--- a/guard/table.go
+++ b/guard/table.go
@@ -6,6 +6,12 @@
 	"cressknot/fleet"
 )
 
+// Bounds of forcing what was refused.
+const (
+	ForceFor  = 30 * fleet.Second // so long a refusal may be forced: it was judged on what was known then
+	ForceMost = 64                // forces that wait at a time
+)
+
 // TableLine is a line of a whole table that is judged.
 type TableLine struct {
 	Server    fleet.ServerID
--- a/steer/push.go
+++ b/steer/push.go
@@ -7,6 +7,13 @@
 	"cressknot/fleet"
 )
 
+// How long what staff set lasts.
+const (
+	PushFor = 300 * fleet.Second       // a weight set by hand: staff look again, or forget it
+	PinFor  = 300 * fleet.Second       // a pin or a way back, unless said otherwise: the same
+	PinMost = 24 * 3600 * fleet.Second // a pin that is forgotten ends within a day
+)
+
 // push names a line of a table that staff have set.
 type push struct {
 	table  fleet.TableID
