Work out the way from a version once for all followers that hold it

930 followers on different versions each paid for a fold of their own, and the order of a message's lines was a stable sort of large records.

Plan keeps what it worked out for each version held until the next version, with one whole for all that hold no version; Arrange counts instead of sorting.

--- a/steer/arrange.go
+++ b/steer/arrange.go
@@ -58,6 +58,7 @@
 	Sum       []int      // by class: their weights
 	Cold      []ColdLine // of ready servers that started a short while ago
 	Alone     bool       // nothing else is on its way to the proxy
+	sorted    []Proposal // room
 }
 
 // ColdLine is a usable line of a cold server.
@@ -118,7 +119,23 @@
 		}
 		return rise
 	}
-	slices.SortStableFunc(d.Proposals, func(a, b Proposal) int { return rank(&a) - rank(&b) })
+	var at [take + 1]int // a stable sort by counting: a table of 700 lines is one message
+	for i := range d.Proposals {
+		at[rank(&d.Proposals[i])]++
+	}
+	if len(d.Proposals) > 1 {
+		begin := 0
+		for r, n := range at {
+			at[r], begin = begin, begin+n
+		}
+		d.sorted = slices.Grow(d.sorted[:0], len(d.Proposals))[:len(d.Proposals)]
+		for i := range d.Proposals {
+			r := rank(&d.Proposals[i])
+			d.sorted[at[r]] = d.Proposals[i]
+			at[r]++
+		}
+		d.Proposals, d.sorted = d.sorted, d.Proposals
+	}
 	left := slices.Clone(d.Lines)
 	for i := 0; i < len(d.Proposals); i++ {
 		p := &d.Proposals[i]
--- a/steer/channel.go
+++ b/steer/channel.go
@@ -193,7 +193,7 @@
 // draft tells what a proxy holds, once all that is on its way has arrived.
 func (p *Plane) draft(now fleet.Time, x *proxy) *Draft {
 	d := &p.scratch
-	*d = Draft{Proxy: x.id, Proposals: d.Proposals[:0], Lines: x.lines, Sum: x.sums, Cold: d.Cold[:0], Alone: len(x.flying) == 0}
+	*d = Draft{Proxy: x.id, Proposals: d.Proposals[:0], sorted: d.sorted, Lines: x.lines, Sum: x.sums, Cold: d.Cold[:0], Alone: len(x.flying) == 0}
 	for _, i := range p.coldNow(now) {
 		for c := range p.classes() {
 			at := int(i)*p.classes() + c
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -655,6 +655,37 @@
 	}
 }
 
+// BenchmarkReturn930 has 930 proxies of 700 servers come back with a table that some of the last versions had.
+func BenchmarkReturn930(b *testing.B) {
+	for _, distinct := range []int{1, 10, 300} {
+		b.Run(fmt.Sprint("versions=", distinct), func(b *testing.B) {
+			s := site()
+			s.LinesPerS, s.BacklogMost = 1e9, 1e9
+			p, now := laid(b, s, 930, 700)
+			held := make([]Snapshot, 930)
+			for i := range held {
+				for j := range 700 {
+					w := int16(128)
+					if j <= i%distinct {
+						w = 100
+					}
+					held[i].Lines = append(held[i].Lines, SnapshotLine{Server: fleet.ServerID(j), Cell: Cell{Weight: w, State: In}})
+				}
+			}
+			b.ResetTimer()
+			for b.Loop() {
+				var binds []fleet.Order
+				for i := range held {
+					p.Join(now, fleet.ProxyID(i), held[i])
+					binds = append(binds, fleet.Bind{Proxy: fleet.ProxyID(i)})
+				}
+				p.Order(now, binds)
+				settle(p, &now)
+			}
+		})
+	}
+}
+
 // TestMain fixes the seed, so that CI gives the same verdict each time; -rapid.seed and -rapid.checks play more.
 func TestMain(m *testing.M) {
 	flag.Parse()
--- a/tables/tables.go
+++ b/tables/tables.go
@@ -99,6 +99,19 @@
 	history []Delta // oldest first, without gaps up to the present version
 	kept    int     // lines in history
 	bounds  Bounds
+	plans   map[held]plan // of the present version: followers on one version share the work
+}
+
+// held is what a follower says he holds, with the cost of a message's head.
+type held struct {
+	version Version
+	digest  Digest
+	head    int
+}
+
+type plan struct {
+	way    Way
+	deltas []Delta
 }
 
 // Bounds keep the history small.
@@ -155,6 +168,7 @@
 	for _, l := range d.Lines {
 		t.put(l)
 	}
+	clear(t.plans) // they lead to the version before
 	t.version = t.version.Next()
 	d.To, d.ToDigest = t.version, t.digest
 	t.history = append(t.history, d)
@@ -269,29 +283,56 @@
 )
 
 // Plan gives the shortest safe way for one who says what he holds: by lines, each message costing head lines more. One who
-// holds what no version of ours was, or says so with a digest that is not that version's, gets the whole.
+// holds what no version of ours was, or says so with a digest that is not that version's, gets the whole. It is worked out
+// once for each version held: a thousand followers cost what their distinct versions do. The deltas are not to be changed.
 func (t *Table) Plan(v Version, digest Digest, head int) (way Way, deltas []Delta) {
 	if v == t.version && digest == t.digest {
 		return Nothing, nil
 	}
-	whole := Delta{From: None, To: t.version, ToDigest: t.digest, Lines: t.Lines()}
-	folded, err := t.Fold(v)
-	if err != nil || folded.FromDigest != digest {
-		return Whole, []Delta{whole}
+	after, err := t.find(v)
+	at := held{v, digest, head}
+	if err != nil { // whatever is not kept: one whole for all
+		at = held{head: head}
+	}
+	made, ok := t.plans[at]
+	if !ok {
+		if made = t.plan(v, digest, head, after, err); made.way == Whole && err == nil { // as a damaged digest may be any number
+			at = held{head: head}
+		}
+		if t.plans == nil {
+			t.plans = map[held]plan{}
+		}
+		t.plans[at] = made
+	}
+	return made.way, made.deltas
+}
+
+func (t *Table) plan(v Version, digest Digest, head, after int, unknown error) plan {
+	whole := func() plan {
+		if made, ok := t.plans[held{head: head}]; ok {
+			return made
+		}
+		return plan{Whole, []Delta{{From: None, To: t.version, ToDigest: t.digest, Lines: t.Lines()}}}
+	}
+	if unknown != nil {
+		return whole()
+	}
+	if after > 0 && t.history[len(t.history)-after].FromDigest != digest || after == 0 && digest != t.digest {
+		return whole()
 	}
-	after, _ := t.find(v)
+	folded, _ := t.Fold(v)
 	between := t.history[len(t.history)-after:]
 	each := 0
 	for _, d := range between {
 		each += head + len(d.Lines)
 	}
 	switch once := head + len(folded.Lines); {
-	case len(whole.Lines)+head < min(once, each):
-		return Whole, []Delta{whole}
+	case len(t.lines)+head < min(once, each):
+		return whole()
 	case each <= once:
-		return Deltas, slices.Clone(between)
+		return plan{Deltas, slices.Clone(between)}
 	}
-	return Folded, []Delta{folded}
+	return plan{Folded, []Delta{folded}}
 }
 
 // Difference is a line in which a way back had to differ from the version gone back to.
--- a/tables/tables_test.go
+++ b/tables/tables_test.go
@@ -355,6 +355,53 @@
 	}
 }
 
+// TestPlansAreShared guards against followers that pay each for himself, and against a way that leads to an older version.
+func TestPlansAreShared(t *testing.T) {
+	table := big(1000)
+	var held []Delta
+	for v := range 20 {
+		d, _ := table.Change(2, []Line{{Server: fleet.ServerID(v % 3), Weight: 1 + v}}, "")
+		held = append(held, d)
+	}
+	for round := range 3 {
+		for i := range 930 {
+			d := held[i%10]
+			digest := d.ToDigest
+			if i%5 == 4 { // says a digest of nothing that ever was: each another one
+				digest += Digest(i + 1)
+			}
+			way, deltas := table.Plan(d.To, digest, 6)
+			if last := deltas[len(deltas)-1]; last.To != table.Version() || last.ToDigest != table.Digest() || (way == Whole) != (digest != d.ToDigest) {
+				t.Fatalf("round %d, follower %d: way %d to %s", round, i, way, last.To)
+			}
+		}
+		if len(table.plans) > 11 {
+			t.Errorf("%d ways worked out for 10 versions", len(table.plans))
+		}
+		table.Change(3, []Line{{Server: 9, Weight: 10 + round}}, "")
+	}
+}
+
+func BenchmarkPlans930(b *testing.B) { // a new version of 10,000 lines, and the ways of 930 followers that hold some of the 300 before
+	for _, distinct := range []int{1, 10, 100, 300} {
+		b.Run(fmt.Sprint("versions=", distinct), func(b *testing.B) {
+			t := big(10_000)
+			t.bounds.Lines = 20_000
+			for i := 0; b.Loop(); i++ {
+				lines := make([]Line, 20)
+				for j := range lines {
+					lines[j] = Line{Server: fleet.ServerID((i*31 + j*97) % 10_000), Weight: 1 + i%200}
+				}
+				t.Change(2, lines, "")
+				for f := range 930 {
+					d := t.history[max(0, len(t.history)-2-f%distinct)]
+					t.Plan(d.To, d.ToDigest, 6)
+				}
+			}
+		})
+	}
+}
+
 func BenchmarkMemoryOfAVersion(b *testing.B) { // of 10 lines changed, of a table of 700
 	t := big(700)
 	var before, after runtime.MemStats
