--- a/governor/bench_test.go
+++ b/governor/bench_test.go
@@ -42,11 +42,11 @@
 				doc.Servers = append(doc.Servers, list.Server{Name: fmt.Sprint("s", i), Addr: "x:1", Zone: site.Zones[i%4]})
 			}
 			in := []Input{list.Update{Scope: fleet.ListFull, Doc: doc}}
-			counters := make([]map[fleet.ServerID]reports.Met, proxies)
+			counters := make([][]reports.Met, proxies)
 			came := make([][]reports.Came, proxies)
 			for i := range proxies {
 				in = append(in, front.Up{Proxy: fleet.ProxyID(i), Stream: 1, Held: steer.Snapshot{Zone: fleet.ZoneID(i % 4), Weight: 3, Fresh: true}})
-				counters[i], came[i] = map[fleet.ServerID]reports.Met{}, make([]reports.Came, 3)
+				counters[i], came[i] = make([]reports.Met, servers), make([]reports.Came, 3)
 			}
 			rng := rand.New(rand.NewPCG(1, 1))
 			took, decided := hdrhistogram.New(1000, int64(time.Minute), 3), hdrhistogram.New(1000, int64(time.Minute), 3)
@@ -65,15 +65,16 @@
 				for _, id := range out.Polls {
 					for range 9 { // visits of a second
 						s := fleet.ServerID(rng.IntN(servers))
-						m := counters[id][s]
+						m := &counters[id][s]
 						m.Tries, m.Good, m.GoodMs, m.HasLoad = m.Tries+1, m.Good+1, m.GoodMs+200, true
 						m.Load[0] = 0.4 + 0.3*rng.Float32()
-						counters[id][s] = m
 						came[id][rng.IntN(3)].Visits++
 					}
-					r := &reports.Reading{At: now, Servers: make(map[fleet.ServerID]reports.Met, len(counters[id])), Classes: append([]reports.Came(nil), came[id]...)}
+					r := reports.NewReading(3)
+					r.At = now
+					copy(r.Classes, came[id])
 					for s, m := range counters[id] {
-						r.Servers[s] = m
+						r.Row(fleet.ServerID(s)).Met = m
 					}
 					in = append(in, front.Polled{Proxy: id, Stream: 1, Reading: r})
 				}
--- a/governor/core.go
+++ b/governor/core.go
@@ -11,9 +11,9 @@
 	"cressknot/fleet"
 	"cressknot/front"
 	"cressknot/guard"
+	"cressknot/intake"
 	"cressknot/list"
 	"cressknot/logic"
-	"cressknot/reports"
 	"cressknot/steer"
 )
 
@@ -23,9 +23,12 @@
 	idleMost   = fleet.Second / 4 // longest time without a turn: sweeps and marks of slow proxies wait no longer
 )
 
-// Input is something that a turn takes in: a front.Event, a list.Update or a fleet.Probed.
+// Input is something that a turn takes in: a front.Event, a list.Update, a fleet.Probed or what was Pushed.
 type Input any
 
+// Pushed are records that servers pushed. The turn keeps none of them.
+type Pushed []intake.Record
+
 // Output is what a turn wants done.
 type Output struct {
 	Messages []steer.Message
@@ -36,7 +39,8 @@
 	Fetch    bool
 	List     *list.Document // a new whole list, worth keeping
 	Logs     []Line
-	Wake     fleet.Time // next turn at the latest
+	Distrust []fleet.ServerID // sources that are not believed from now on
+	Wake     fleet.Time       // next turn at the latest
 	// What the module heard and ordered, for records; good until the next turn.
 	Stepped bool
 	Events  []fleet.Event
@@ -60,7 +64,7 @@
 	proxies   map[fleet.ProxyID]front.Proxy
 	module    *logic.Governor
 	plane     *steer.Plane
-	gather    *reports.Gather
+	intake    *intake.Intake
 	guard     *guard.Guard // knows what staff are told even where it doesn't judge
 	guarded   bool
 	tokens    int
@@ -90,7 +94,7 @@
 func NewCore(site fleet.Site, seed uint64, proxies []front.Proxy, names *Names) *Core {
 	c := &Core{site: site, names: names, zones: map[string]fleet.ZoneID{}, kinds: map[string]fleet.KindID{},
 		proxies: map[fleet.ProxyID]front.Proxy{}, module: logic.New(site, seed), plane: steer.New(site),
-		gather: reports.New(site), streams: map[fleet.ProxyID]uint64{}, unreached: map[fleet.ProxyID]string{}, started: -1,
+		intake: intake.New(site), streams: map[fleet.ProxyID]uint64{}, unreached: map[fleet.ProxyID]string{}, started: -1,
 		guard: guard.New(site), broken: map[string]bool{}, forces: map[string]force{}, entries: map[fleet.ServerID]fleet.Entry{}, docs: map[string]list.Server{}}
 	for i, z := range site.Zones {
 		c.zones[z] = fleet.ZoneID(i)
@@ -147,7 +151,7 @@
 	messages, heard, drops, wake := c.plane.Next(now)
 	out.Messages, out.Drops = messages, drops
 	c.hear(now, heard)
-	told, more := c.gather.Tell(now)
+	told, more := c.intake.Tell(now)
 	c.events = append(c.events, told...)
 	c.due(now)
 	if len(c.events) > 0 || c.steps == 0 && c.site.ListOnRequest { // with a list that comes by itself, first hear it
@@ -179,7 +183,8 @@
 		}
 		c.log(&out, Line{now, "warn", "channel", fmt.Sprintf("proxy %s: %s", c.proxies[a.Proxy].Name, a.Text)})
 	}
-	asks, next := c.gather.Polls(now)
+	c.notices(now, &out)
+	asks, next := c.intake.Polls(now)
 	out.Polls = asks
 	out.Wake = now + idleMost
 	for _, at := range []fleet.Time{wake, more, next} {
@@ -215,14 +220,14 @@
 		c.streams[in.Proxy] = in.Stream
 		delete(c.unreached, in.Proxy)
 		c.plane.Join(now, in.Proxy, in.Held)
-		c.gather.Join(now, in.Proxy, in.Held.Zone)
+		c.intake.Join(now, in.Proxy, in.Held.Zone, in.Held.Fresh)
 		c.log(out, Line{now, "info", "proxy", fmt.Sprintf("proxy %s joined: %d lines held, fresh %v",
 			c.proxies[in.Proxy].Name, len(in.Held.Lines), in.Held.Fresh)})
 	case front.Down:
 		if !stale(in.Proxy, in.Stream) {
 			delete(c.streams, in.Proxy)
 			c.plane.Leave(in.Proxy)
-			c.gather.Leave(in.Proxy)
+			c.intake.Leave(in.Proxy)
 			c.log(out, Line{now, "warn", "proxy", fmt.Sprintf("proxy %s left: %v", c.proxies[in.Proxy].Name, in.Why)})
 		}
 	case front.Unreached:
@@ -240,13 +245,39 @@
 		}
 	case front.Polled:
 		if !stale(in.Proxy, in.Stream) {
-			c.gather.Hear(in.Proxy, in.Reading)
+			c.intake.Polled(now, in.Proxy, in.Reading)
 			c.plane.Seen(now, in.Proxy, in.Reading.Lines)
+			in.Reading.Release()
 		}
 	case list.Update:
 		c.list(now, in, out)
 	case fleet.Probed:
 		c.events = append(c.events, in)
+	case Pushed:
+		for i := range in {
+			before := c.intake.Distrusted(in[i].Server)
+			if c.intake.Pushed(now, in[i]); c.intake.Distrusted(in[i].Server) != before {
+				out.Distrust = append(out.Distrust, in[i].Server)
+			}
+		}
+	}
+}
+
+// notices turns what intake has to say into log lines.
+func (c *Core) notices(now fleet.Time, out *Output) {
+	for _, n := range c.intake.Look(now) {
+		l := Line{now, "warn", "intake", n.Text}
+		if n.Good {
+			l.Level = "info"
+		}
+		switch {
+		case n.OfProxy:
+			l.Text = fmt.Sprintf("proxy %s %s", c.proxies[n.Proxy].Name, n.Text)
+		case !n.OfAll:
+			name, _ := c.names.Of(n.Server)
+			l.Text = fmt.Sprintf("server %s %s: %s", name, n.Sight, n.Text)
+		}
+		c.log(out, l)
 	}
 }
 
@@ -256,7 +287,7 @@
 	c.held = c.held[:0]
 	for _, e := range events {
 		if l, ok := e.(fleet.Left); ok {
-			c.gather.Leave(l.Proxy)
+			c.intake.Leave(l.Proxy)
 		}
 		c.events = append(c.events, e)
 	}
@@ -264,7 +295,7 @@
 
 func (c *Core) later(now fleet.Time, e fleet.Event) {
 	if l, ok := e.(fleet.Left); ok {
-		c.gather.Leave(l.Proxy)
+		c.intake.Leave(l.Proxy)
 	}
 	c.held = append(c.held, e)
 }
@@ -313,6 +344,7 @@
 		l.Entries = append(l.Entries, e)
 	}
 	c.rev, c.listed = u.Doc.Rev, now
+	c.sources(l)
 	c.guard.Hear(now, l) // before the plane asks it what the list makes of lines that stand
 	c.plane.List(now, l)
 	c.events = append(c.events, l)
@@ -326,6 +358,20 @@
 	}
 }
 
+// sources tells intake which servers are listed.
+func (c *Core) sources(l fleet.List) {
+	if l.Scope != fleet.ListDelta {
+		for id := range c.names.Count() {
+			if _, listed := c.entries[fleet.ServerID(id)]; !listed {
+				c.intake.Listed(fleet.ServerID(id), true)
+			}
+		}
+	}
+	for _, e := range l.Entries {
+		c.intake.Listed(e.Server, e.State == fleet.Gone)
+	}
+}
+
 var stateNames = map[string]fleet.ServerState{"": fleet.Ready, "ready": fleet.Ready, "draining": fleet.Draining,
 	"gone": fleet.Gone}
 
--- a/governor/loop.go
+++ b/governor/loop.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"os"
 	"strconv"
@@ -17,16 +18,17 @@
 
 	"cressknot/fleet"
 	"cressknot/front"
+	"cressknot/intake"
 	"cressknot/list"
 	"cressknot/records"
 	"cressknot/steer"
 )
 
 const (
-	mailMost  = 4096             // inputs that wait before readings of one proxy are folded into the newest
-	tookMost  = int64(time.Hour) // of the histogram of turns
-	probeBody = 1 << 12          // bytes read of a probe's answer
-	loadUnit  = 1000             // load figures stand in thousandths, as proxies keep whole numbers
+	tookMost  = int64(time.Hour)      // of the histogram of turns
+	probeBody = 1 << 12               // bytes read of a probe's answer
+	moreGap   = 5 * fleet.Millisecond // before a turn that takes what the last one had no room for: urgent inputs come between
+	loadUnit  = 1000                  // load figures stand in thousandths, as proxies keep whole numbers
 )
 
 // Loop runs a Core: one goroutine that owns it, a mailbox, a clock and a timer.
@@ -41,8 +43,12 @@
 	probe  string // path of probes
 
 	mu     sync.Mutex
-	mail   []Input
-	polled map[fleet.ProxyID]int // place of a waiting reading in mail
+	mail   []Input        // lists, joins, leaves, answers, probes: never shed, never folded
+	polled []front.Polled // readings, at most one of each proxy, oldest first
+	place  map[fleet.ProxyID]int
+	box    *intake.Box // what servers pushed
+	pushed []intake.Record
+	inputs []Input
 	folded uint64
 	notify chan struct{}
 	asks   chan func(*Core)
@@ -72,7 +78,7 @@
 // NewLoop makes a loop that Run runs.
 func NewLoop(p Parts) *Loop {
 	l := &Loop{core: p.Core, names: p.Names, front: p.Front, source: p.Source, log: p.Log, wall: time.Now(),
-		cache: p.Cache, probe: p.ProbePath, polled: map[fleet.ProxyID]int{}, notify: make(chan struct{}, 1),
+		cache: p.Cache, probe: p.ProbePath, place: map[fleet.ProxyID]int{}, box: &intake.Box{}, notify: make(chan struct{}, 1),
 		asks: make(chan func(*Core)), took: hdrhistogram.New(1000, tookMost, 3)}
 	if p.Cached != nil {
 		l.post(list.Update{Scope: fleet.ListCached, Doc: *p.Cached})
@@ -86,34 +92,72 @@
 }
 
 // post puts an input into the mailbox. Nothing is lost: a reading that still waits is replaced by a newer one of the
-// same proxy once the box is long, as counters are sums.
+// same stream, as counters are sums.
 func (l *Loop) post(in Input) {
 	l.mu.Lock()
 	if p, ok := in.(front.Polled); ok {
 		p.Reading.At = l.now()
-		if at, waits := l.polled[p.Proxy]; waits && len(l.mail) > mailMost && l.mail[at].(front.Polled).Stream == p.Stream {
-			l.mail[at] = p
+		if at, waits := l.place[p.Proxy]; waits && l.polled[at].Stream == p.Stream {
+			l.polled[at].Reading.Release()
+			l.polled[at] = p
 			l.folded++
-			l.mu.Unlock()
-			return
+		} else {
+			l.place[p.Proxy] = len(l.polled)
+			l.polled = append(l.polled, p)
 		}
-		l.polled[p.Proxy] = len(l.mail)
+	} else {
+		l.mail = append(l.mail, in)
 	}
-	l.mail = append(l.mail, in)
 	l.mu.Unlock()
+	l.wake()
+}
+
+func (l *Loop) wake() {
 	select {
 	case l.notify <- struct{}{}:
 	default:
 	}
 }
 
-func (l *Loop) collect() []Input {
+// Push takes in what servers pushed, and says what they are to be told.
+func (l *Loop) Push(records []intake.Record) intake.Reply {
+	reply := l.box.Put(l.now(), records)
+	l.wake()
+	return reply
+}
+
+// Now is the governor's clock.
+func (l *Loop) Now() fleet.Time { return l.now() }
+
+// collect gives what the next turn takes in: all that is urgent, then readings and pushed records as far as there is room
+// for them in a turn. More tells that some wait.
+func (l *Loop) collect(pushed, rows int) (inputs []Input, more bool) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	mail := l.mail
-	l.mail = nil
-	clear(l.polled)
-	return mail
+	inputs, l.mail = append(l.inputs[:0], l.mail...), l.mail[:0]
+	n := 0
+	for n < len(l.polled) && rows > 0 {
+		rows -= max(1, len(l.polled[n].Reading.Rows))
+		inputs = append(inputs, l.polled[n])
+		n++
+	}
+	if n == len(l.polled) {
+		l.polled = l.polled[:0]
+		clear(l.place)
+	} else {
+		l.polled = l.polled[:copy(l.polled, l.polled[n:])]
+		clear(l.place)
+		for i := range l.polled {
+			l.place[l.polled[i].Proxy] = i
+		}
+	}
+	more = len(l.polled) > 0
+	l.mu.Unlock()
+	if l.pushed = l.box.Take(pushed, l.pushed[:0]); len(l.pushed) > 0 {
+		inputs = append(inputs, Pushed(l.pushed))
+	}
+	l.inputs = inputs
+	waits, _, _ := l.box.Waiting()
+	return inputs, more || waits > 0
 }
 
 // Ask runs a question in the loop's goroutine, between two turns.
@@ -158,13 +202,21 @@
 }
 
 func (l *Loop) turn() fleet.Time {
-	inputs := l.collect()
+	inputs, more := l.collect(l.core.intake.Room())
 	now := l.now()
 	out := l.core.Turn(now, inputs)
+	took := l.now() - now
+	l.core.intake.Took(now, took)
 	l.tookMu.Lock()
 	l.turns++
-	_ = l.took.RecordValue(min(tookMost, max(1000, int64(l.now()-now))))
+	_ = l.took.RecordValue(min(tookMost, max(1000, int64(took))))
 	l.tookMu.Unlock()
+	for _, id := range out.Distrust {
+		l.box.Distrust(id, l.core.intake.Distrusted(id))
+	}
+	if more {
+		out.Wake = now + moreGap
+	}
 	for _, id := range out.Drops {
 		l.front.Drop(id)
 	}
@@ -251,11 +303,17 @@
 	return load
 }
 
+// rest gives what is left for a governor that stops.
+func (l *Loop) rest() []Input {
+	inputs, _ := l.collect(0, math.MaxInt)
+	return inputs
+}
+
 func (l *Loop) stop(ctx context.Context, within time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	for ctx.Err() == nil {
-		messages, wake, idle := l.core.Settle(l.now(), l.collect())
+		messages, wake, idle := l.core.Settle(l.now(), l.rest())
 		for _, m := range messages {
 			l.front.Send(m)
 		}
--- a/governor/operators.go
+++ b/governor/operators.go
@@ -159,6 +159,7 @@
 	now := o.loop.now()
 	passed, stopped := c.guard.Counts()
 	versions, changed, whole := 0, 0, 0
+	waiting, _ := c.intake.Waiting(now)
 	for _, id := range c.plane.TableIDs() {
 		if book := c.plane.Book(id); book != nil {
 			for _, d := range book.History()[min(1, len(book.History())):] { // the first is the whole
@@ -173,7 +174,7 @@
 		{"Proxies_all", len(c.proxies)}, {"Turns", turns}, {"Steps", c.steps}, {"Turn_p50_us", took[0] / 1000},
 		{"Turn_p99_us", took[1] / 1000}, {"Turn_most_us", took[2] / 1000}, {"Lines_waiting", int64(c.plane.Lines())},
 		{"Lines_sent", lines}, {"Messages_sent", messages}, {"Changes_sent", changes}, {"Lines_replaced", folded},
-		{"Reports_waiting", c.gather.Waiting()}, {"Versions", versions}, {"Delta_share_percent", fmt.Sprintf("%.1f", 100*float64(changed)/float64(max(1, whole)))}, {"Guard_passed", passed}, {"Guard_stopped", stopped}, {"Counter_resets", c.gather.Resets()}, {"Readings_folded", o.loop.Folded()}} {
+		{"Reports_waiting", waiting}, {"Versions", versions}, {"Delta_share_percent", fmt.Sprintf("%.1f", 100*float64(changed)/float64(max(1, whole)))}, {"Guard_passed", passed}, {"Guard_stopped", stopped}, {"Counter_resets", c.intake.Resets()}, {"Readings_folded", o.loop.Folded()}} {
 		fmt.Fprintf(&b, "%s: %v\n", p[0], p[1])
 	}
 	return b.String()
@@ -301,7 +302,7 @@
 	if lines == 0 {
 		b.WriteString("It stands in no table.\n")
 	}
-	tries, failed := c.gather.Heard(id)
+	tries, failed := c.intake.Heard(id)
 	fmt.Fprintf(&b, "Reports that wait to be heard: %d tries, %d without a good answer.\n", tries, failed)
 	reasons := 0
 	for _, l := range c.logs {
--- a/governor/operators_test.go
+++ b/governor/operators_test.go
@@ -16,6 +16,7 @@
 
 	"cressknot/fleet"
 	"cressknot/front"
+	"cressknot/intake"
 	"cressknot/list"
 	"cressknot/records"
 	"cressknot/reports"
@@ -163,32 +164,44 @@
 	}
 }
 
-// TestFullMailboxFoldsReadings: once many inputs wait, a newer reading of a proxy takes the older one's place; nothing
-// else is dropped.
-func TestFullMailboxFoldsReadings(t *testing.T) {
+// TestMailboxKeepsWhatIsUrgent: a newer reading of a stream takes the older one's place and a newer push its source's; what a
+// turn has no room for waits; nothing else is ever dropped.
+func TestMailboxKeepsWhatIsUrgent(t *testing.T) {
 	loop := testLoop(t)
-	const many = 3 * mailMost
+	const many = 5000
 	for i := range many {
-		loop.post(front.Polled{Proxy: fleet.ProxyID(i % 2), Stream: 1, Reading: &reports.Reading{Classes: []reports.Came{{Visits: uint64(i)}}}})
+		r := reports.NewReading(1)
+		r.Row(3).Tries, r.Classes[0].Visits = 1, uint64(i)
+		loop.post(front.Polled{Proxy: fleet.ProxyID(i % 2), Stream: 1, Reading: r})
 		loop.post(front.Progress{Proxy: 0, Stream: 1})
-	}
-	loop.post(front.Polled{Proxy: 0, Stream: 2, Reading: &reports.Reading{}}) // of another stream: not the same counters
-	progress, last, streams := 0, uint64(0), 0
-	mail := loop.collect()
-	for _, in := range mail {
-		switch in := in.(type) {
-		case front.Progress:
-			progress++
-		case front.Polled:
-			if in.Stream == 2 {
-				streams++
-			} else if in.Proxy == 1 {
-				last = in.Reading.Classes[0].Visits
+		loop.Push([]intake.Record{{Server: fleet.ServerID(i % 3), Tries: uint64(i)}})
+	}
+	loop.post(front.Polled{Proxy: 0, Stream: 2, Reading: reports.NewReading(0)}) // of another stream: not the same counters
+	progress, streams, pushed, turns := 0, 0, 0, 0
+	last := map[fleet.ProxyID]uint64{}
+	for more := true; more; turns++ {
+		var inputs []Input
+		inputs, more = loop.collect(1, 1)
+		for _, in := range inputs {
+			switch in := in.(type) {
+			case front.Progress:
+				progress++
+			case Pushed:
+				pushed += len(in)
+			case front.Polled:
+				if in.Stream == 2 {
+					streams++
+				} else {
+					last[in.Proxy] = in.Reading.Classes[0].Visits
+				}
 			}
 		}
+		if turns == 0 && progress != many {
+			t.Errorf("%d of %d urgent inputs in the first turn", progress, many)
+		}
 	}
-	if progress != many || streams != 1 || last != many-1 || loop.Folded() == 0 || len(mail) > many+mailMost+2 {
-		t.Errorf("%d of %d kept, newest reading %d, %d folded, %d in all", progress, many, last, loop.Folded(), len(mail))
+	if streams != 1 || last[1] != many-1 || last[0] != many-2 || loop.Folded() != many-2 || pushed != 3 || turns != 3 {
+		t.Errorf("newest readings %v, %d of the other stream, %d folded, %d pushed, %d turns", last, streams, loop.Folded(), pushed, turns)
 	}
 }
 
--- /dev/null
+++ b/intake/intake_test.go
@@ -0,0 +1,607 @@
+package intake
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"cressknot/fleet"
+	"cressknot/reports"
+)
+
+const s = fleet.Second
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	set := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "7", "rapid.checks": "400", "rapid.nofailfile": "true"} {
+		if !set[name] {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func site() fleet.Site {
+	return fleet.Site{Zones: []string{"a", "b"}, Classes: make([]fleet.VisitClass, 2), ReportEvery: s,
+		ReportsPerS: 5, LoadFields: []fleet.LoadField{fleet.FieldBusy}, Report: fleet.ReportOnProbe}
+}
+
+// far is a proxy with its counters.
+type far struct {
+	met    map[fleet.ServerID]reports.Met
+	visits uint64
+}
+
+func (f *far) reading(at fleet.Time) *reports.Reading {
+	r := reports.NewReading(2)
+	r.At = at
+	for id := range fleet.ServerID(4) {
+		if m, ok := f.met[id]; ok {
+			r.Row(id).Met = m
+		}
+	}
+	r.Classes[0].Visits = f.visits
+	return r
+}
+
+func (f *far) meets(id fleet.ServerID, n, failed uint64) {
+	m := f.met[id]
+	m.Tries, m.Failed, m.Good, m.GoodMs = m.Tries+n, m.Failed+failed, m.Good+n-failed, m.GoodMs+100*(n-failed)
+	f.met[id] = m
+	f.visits += n
+}
+
+// TestSumsAreConserved: whatever is polled when, through partings, restarts and late readings, every try that proxies counted
+// was told, waits, was too old, or was of a server gone; no more lines are told than the site allows.
+func TestSumsAreConserved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k, now := New(site()), s
+		var fars [3]far
+		var counted, base [3]uint64 // by the proxies since the base that the intake knows
+		var known [3]bool
+		due, told, lines, began := uint64(0), uint64(0), 0, now
+		for i := range fars {
+			fars[i].met = map[fleet.ServerID]reports.Met{}
+			k.Join(now, fleet.ProxyID(i), fleet.ZoneID(i%2), true)
+		}
+		tell := func() {
+			events, _ := k.Tell(now)
+			for _, e := range events {
+				lines++
+				if h, ok := e.(fleet.Heard); ok {
+					told += uint64(h.Tries)
+					if h.Failed > h.Tries || h.Span <= 0 || h.Tries > 1e6 || h.Load != nil {
+						t.Fatalf("%+v", h)
+					}
+				} else if u := e.(fleet.Usage); u.Span <= 0 || u.Visits > 1e6 {
+					t.Fatalf("%+v", u)
+				}
+			}
+			if most := int((now-began).Seconds()*5) + 6; lines > most {
+				t.Fatalf("%d lines told, %d are the most", lines, most)
+			}
+			if sum := k.totals; sum.Counted != due || sum.Told != told || sum.Counted != sum.Told+sum.Waiting+sum.Aged+sum.Unheard {
+				t.Fatalf("%+v, but proxies counted %d and %d were told", sum, due, told)
+			}
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += fleet.Time(rapid.SampledFrom([]int{20, 300, 900, 900, 20_000}).Draw(t, "ms")) * fleet.Millisecond
+			i := rapid.IntRange(0, 2).Draw(t, "proxy")
+			f, id := &fars[i], fleet.ProxyID(i)
+			switch rapid.IntRange(0, 7).Draw(t, "what") {
+			case 0, 1, 2:
+				n := uint64(rapid.IntRange(1, 50).Draw(t, "tries"))
+				f.meets(fleet.ServerID(rapid.IntRange(0, 3).Draw(t, "server")), n, n/3)
+				counted[i] += n
+			case 3, 4:
+				r := f.reading(now)
+				if known[i] {
+					due += counted[i] - base[i]
+				}
+				known[i], base[i] = true, counted[i]
+				k.Polled(now, id, r)
+				r.Release()
+			case 5: // a parting; it may have restarted meanwhile
+				k.Leave(id)
+				fresh := rapid.Bool().Draw(t, "fresh")
+				if fresh {
+					f.met, f.visits, known[i] = map[fleet.ServerID]reports.Met{}, 0, false
+				}
+				k.Join(now, id, fleet.ZoneID(i%2), fresh)
+			case 6:
+				k.Listed(fleet.ServerID(rapid.IntRange(0, 3).Draw(t, "listed")), rapid.Bool().Draw(t, "gone"))
+			default:
+				tell()
+			}
+			k.Look(now)
+		}
+		for range 200 {
+			now += s
+			tell()
+		}
+		if n, _ := k.Waiting(now); n != 0 || k.totals.Waiting != 0 {
+			t.Fatalf("%d lines wait in the end: %+v", n, k.totals)
+		}
+	})
+}
+
+// TestFallenCountersTellNothing: a proxy that restarted unseen gives no sums, nor does one whose counter jumps past belief.
+func TestFallenCountersTellNothing(t *testing.T) {
+	k := New(site())
+	k.Join(s, 1, 0, true)
+	f := far{met: map[fleet.ServerID]reports.Met{}}
+	for i, n := range []uint64{100, 40, 60, 1 << 62, 80, 90} {
+		f.met[2] = reports.Met{Tries: n, Failed: n}
+		k.Polled(fleet.Time(i+2)*s, 1, f.reading(fleet.Time(i+2)*s))
+	}
+	if k.Resets() != 3 || k.totals.Counted != 30 {
+		t.Errorf("%d resets, %d counted", k.Resets(), k.totals.Counted)
+	}
+}
+
+// TestLateNewsIsNoCrowd: a minute of counters that comes at once after a parting is told as the rate that it was, not as a
+// crowd of this second, and the rest is booked as aged.
+func TestLateNewsIsNoCrowd(t *testing.T) {
+	k := New(site())
+	f := far{met: map[fleet.ServerID]reports.Met{}}
+	k.Join(0, 1, 0, true)
+	now := fleet.Time(0)
+	for range 10 { // ten tries a second
+		now += s
+		f.meets(1, 10, 0)
+		k.Polled(now, 1, f.reading(now))
+		k.Tell(now)
+	}
+	k.Leave(1)
+	f.meets(1, 600, 300)
+	now += 60 * s
+	k.Join(now, 1, 0, false)
+	k.Polled(now, 1, f.reading(now))
+	events, _ := k.Tell(now)
+	for _, e := range events {
+		if h, ok := e.(fleet.Heard); ok {
+			rate := float64(h.Tries) / h.Span.Seconds()
+			if rate < 5 || rate > 15 || h.Failed*2 != h.Tries || k.totals.Aged < 500 {
+				t.Errorf("%+v is %.1f a second; %+v", h, rate, k.totals)
+			}
+			return
+		}
+	}
+	t.Error("nothing was told")
+}
+
+// flood pushes records of sources that nobody needs, of one that sends half of all, of servers gone, and broken ones.
+func flood(box *Box, rng *rand.Rand, now fleet.Time, n int) {
+	batch := make([]Record, 0, 100)
+	for i := range n {
+		r := Record{Server: fleet.ServerID(100 + rng.IntN(600)), Stated: now - fleet.Time(rng.IntN(9))*s, Arrived: now,
+			Tries: uint64(rng.IntN(1e6)), HasLoad: true, Load: [4]float32{rng.Float32() * 9}}
+		switch rng.IntN(4) {
+		case 0, 1:
+			r.Server = 99
+		case 2:
+			r.Load[0], r.Failed = float32(math.NaN()), math.MaxUint64
+		}
+		if batch = append(batch, r); len(batch) == cap(batch) || i == n-1 {
+			box.Put(now, batch)
+			batch = batch[:0]
+		}
+	}
+}
+
+// TestFloodStarvesNobody: 100,000 pushed reports a second through ten seconds. What each honest server says is heard within
+// the stated bound, the one that sends half of all is heard no more often than others and told to wait, the box stays as
+// large as the fleet, and a day's sums of polls are the same as without the flood.
+func TestFloodStarvesNobody(t *testing.T) {
+	run := func(perTick int) (heard map[fleet.ServerID]fleet.Time, worst fleet.Time, totals Totals, most int) {
+		k, box, rng := New(site()), &Box{}, rand.New(rand.NewPCG(5, 5))
+		f := far{met: map[fleet.ServerID]reports.Met{}}
+		k.Join(0, 1, 0, true)
+		for id := range fleet.ServerID(700) {
+			k.Listed(id, false)
+		}
+		heard, last := map[fleet.ServerID]fleet.Time{}, map[fleet.ServerID]fleet.Time{}
+		var records []Record
+		for now := s; now < 11*s; now += 10 * fleet.Millisecond {
+			flood(box, rng, now, perTick)
+			for id := range fleet.ServerID(90) { // each once a second
+				if (now/(10*fleet.Millisecond)+fleet.Time(id))%100 == 0 {
+					box.Put(now, []Record{{Server: id, Stated: now, Arrived: now, Tries: uint64(now / s), HasLoad: true}})
+				}
+			}
+			pushed, _ := k.Room()
+			records = box.Take(pushed, records[:0])
+			for _, r := range records {
+				if k.Pushed(now, r); r.Server < 90 {
+					worst = max(worst, now-r.Arrived)
+					if at := last[r.Server]; at > 0 {
+						heard[r.Server] = max(heard[r.Server], now-at)
+					}
+					last[r.Server] = now
+				}
+			}
+			if now%s == 0 {
+				f.meets(1, 20, 2)
+				k.Polled(now, 1, f.reading(now))
+			}
+			n, _, _ := box.Waiting()
+			most = max(most, n)
+			k.Tell(now)
+			k.Look(now)
+		}
+		return heard, worst, k.totals, most
+	}
+	heard, worst, totals, most := run(1000)
+	_, _, calm, _ := run(0)
+	for id, gap := range heard {
+		if gap > 2*s {
+			t.Errorf("server %d was not heard for %.1f s", id, gap.Seconds())
+		}
+	}
+	if worst > s || len(heard) != 90 || most > 700 || totals.Counted != calm.Counted || totals.Counted == 0 {
+		t.Errorf("a record waited %.2f s, %d sources heard, %d waited at once, sums %+v and %+v", worst.Seconds(), len(heard), most, totals, calm)
+	}
+	box := &Box{}
+	for range 20 {
+		if r := box.Put(s, []Record{{Server: 1}}); r.Taken == 0 && (r.Wait <= 0 || r.Wait > s || r.Text == "") {
+			t.Errorf("a source past its limit is told %+v", r)
+		}
+	}
+	if n, records, thinned := box.Waiting(); n != 1 || records != 20 || thinned != 12 {
+		t.Errorf("%d wait, %d came, %d thinned", n, records, thinned)
+	}
+}
+
+// TestWhoIsBelieved: repeats, overtaken records, restarts, fallen counters, impossible figures and clocks.
+func TestWhoIsBelieved(t *testing.T) {
+	k := New(site())
+	at := func(i int) *standing { return k.standing(fleet.ServerID(i)) }
+	push := func(r Record) { r.Arrived = max(r.Arrived, k.at); k.Pushed(r.Arrived, r) }
+	for i := range 5 { // counted from the second on
+		push(Record{Server: 1, Started: s, Stated: fleet.Time(i+2) * s, Arrived: fleet.Time(i+2) * s, Tries: 100 * uint64(i+1)})
+	}
+	push(Record{Server: 1, Started: s, Stated: 4 * s, Tries: 300}) // overtaken
+	push(Record{Server: 1, Started: s, Stated: 6 * s, Tries: 500}) // repeated
+	if at(1).served != 400 || k.trust.Repeated != 2 || k.trust.Odd != 0 {
+		t.Errorf("%d served, %d repeated, %d odd", at(1).served, k.trust.Repeated, k.trust.Odd)
+	}
+	push(Record{Server: 1, Started: 7 * s, Stated: 8 * s, Arrived: 8 * s, Tries: 30}) // restarted, and said so
+	push(Record{Server: 1, Started: 7 * s, Stated: 9 * s, Arrived: 9 * s, Tries: 10}) // fell
+	push(Record{Server: 1, Started: 7 * s, Stated: 10 * s, Arrived: 10 * s, Tries: 15})
+	push(Record{Server: 1, Started: 7 * s, Stated: 11 * s, Arrived: 11 * s, Tries: 20})
+	if at(1).served != 435 || k.trust.Odd != 1 {
+		t.Errorf("%d served after a restart and a fall, %d odd", at(1).served, k.trust.Odd)
+	}
+	nan := float32(math.NaN())
+	for i, r := range []Record{{HasLoad: true, Load: [4]float32{nan}}, {HasLoad: true, Load: [4]float32{-1}}, {Tries: 1, Failed: 2},
+		{HasLoad: true, Load: [4]float32{float32(math.Inf(1))}}, {Tries: 3, Good: 4}, {Started: 99 * s, Stated: 98 * s}} {
+		r.Server = fleet.ServerID(2 + i)
+		if push(r); at(2+i).pushed != 0 || k.trust.Odd != uint64(2+i) {
+			t.Errorf("%+v was believed", r)
+		}
+	}
+	for i := range 3 {
+		push(Record{Server: 20, Arrived: fleet.Time(20+i) * s, Failed: 9})
+	}
+	push(Record{Server: 20, Arrived: 24 * s, Tries: 5})
+	until := k.Distrusted(20)
+	if until != 22*s+distrustFirst || at(20).pushed != 0 {
+		t.Errorf("distrusted until %d, pushed %d", until, at(20).pushed)
+	}
+	push(Record{Server: 20, Arrived: until + s, Tries: 500})
+	push(Record{Server: 20, Arrived: until + 2*s, Tries: 507})
+	if at(20).served != 7 {
+		t.Errorf("%d served: what it said while it was not believed counts", at(20).served)
+	}
+	told := ""
+	for _, n := range k.Look(100 * s) {
+		told += fmt.Sprintf("%d %s\n", n.Server, n.Text)
+	}
+	for _, want := range []string{"1 its counter tries fell from 30 to 10", "2 it tells a load of NaN", "4 it counts more failed (2)", "not believed for 30 s"} {
+		if !strings.Contains(told, want) {
+			t.Errorf("staff are not told %q:\n%s", want, told)
+		}
+	}
+}
+
+// TestClocksThatDiffer: ages go by a source's own clock as far as it was learned; what is late by it is not told as a load of
+// now, and a minute of late reports at once doesn't pass for a clock that is off.
+func TestClocksThatDiffer(t *testing.T) {
+	k := New(site())
+	k.Listed(1, false)
+	const off = 90 * s // ahead of us
+	push := func(now, taken fleet.Time) {
+		k.Pushed(now, Record{Server: 1, Stated: taken + off, Arrived: now, HasLoad: true, Load: [4]float32{0.5}})
+	}
+	loads := func(now fleet.Time) (n int) {
+		events, _ := k.Tell(now)
+		for _, e := range events {
+			if _, ok := e.(fleet.Probed); ok {
+				n++
+			}
+		}
+		return n
+	}
+	now := 100 * s
+	for range 5 {
+		push(now, now-20*fleet.Millisecond)
+		if loads(now) != 1 {
+			t.Errorf("a load of now is not told at %d", now/s)
+		}
+		now += s
+	}
+	for i := range 60 { // a minute late, all at once
+		push(now+60*s, now+fleet.Time(i)*s)
+		if late := 60 - i; loads(now+60*s) > 0 && late > loadPeriods+1 {
+			t.Errorf("a load %d s old is told", late)
+		}
+	}
+	notices := fmt.Sprint(k.Look(now + 61*s))
+	if !strings.Contains(notices, "its clock is off by 90.0 s") {
+		t.Errorf("staff are not told of the clock: %s", notices)
+	}
+	for i := range 9 { // set right: behind where it was
+		at := now + 62*s + fleet.Time(i)*s
+		k.Pushed(at, Record{Server: 1, Stated: at + off - 85*s, Arrived: at, Tries: uint64(i + 1), HasLoad: true})
+	}
+	if age := k.age(k.standing(1), now+70*s); age > s {
+		t.Errorf("after its clock was set its report is %.1f s old", age.Seconds())
+	}
+}
+
+// TestSilences has each of the ways in which reports stop, and a day without any.
+func TestSilences(t *testing.T) {
+	type at struct{ reports, good, failed, elsewhere bool } // of a server, from second 10 on
+	for _, c := range []struct {
+		name  string
+		after at
+		zoneB bool // fails from there
+		want  Sight
+	}{
+		{"all is well", at{reports: true, good: true}, false, Well},
+		{"its reporter broke", at{good: true}, false, Mute},
+		{"it died", at{failed: true}, false, Dead},
+		{"silent and not asked", at{}, false, Lost},
+		{"cut off from the proxies", at{reports: true, failed: true}, false, Cut},
+		{"one zone gets nothing", at{reports: true, good: true}, true, OneSided},
+		{"visits that nobody polled sends", at{reports: true, elsewhere: true}, false, Unwatched},
+		{"idle", at{reports: true}, false, Well},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			k := New(site())
+			fars := [4]far{}
+			for i := range fars {
+				fars[i].met = map[fleet.ServerID]reports.Met{}
+				k.Join(0, fleet.ProxyID(i), fleet.ZoneID(i%2), true)
+			}
+			for id := range fleet.ServerID(4) {
+				k.Listed(id, false)
+			}
+			noticed, notices, served := fleet.Time(0), 0, uint64(0)
+			for now := s; now < 30*s; now += s / 4 {
+				for id := range fleet.ServerID(4) {
+					is := at{reports: true, good: true}
+					if id == 1 && now > 10*s {
+						is = c.after
+					}
+					for p := range fars {
+						switch {
+						case is.failed, id == 1 && now > 10*s && c.zoneB && p%2 == 1:
+							fars[p].meets(id, 3, 3)
+						case is.good:
+							fars[p].meets(id, 3, 0)
+						}
+					}
+					if served += 3; (is.reports || is.elsewhere) && now%s == 0 {
+						n := served
+						if !is.good && !is.elsewhere {
+							n = 500
+						}
+						k.Pushed(now, Record{Server: id, Stated: now, Arrived: now, Tries: n})
+					}
+				}
+				for p := range fars {
+					if now%s == fleet.Time(p)*s/4 {
+						k.Polled(now, fleet.ProxyID(p), fars[p].reading(now))
+					}
+				}
+				for _, n := range k.Look(now) {
+					if n.OfProxy || n.OfAll || n.Server != 1 || n.Good {
+						t.Errorf("at %.1f: %+v", now.Seconds(), n)
+						continue
+					}
+					if notices++; n.Sight == c.want && noticed == 0 {
+						noticed = now
+					}
+				}
+			}
+			if got := k.Views(30 * s)[1].Sight; got != c.want {
+				t.Errorf("taken for %s, it is %s", got, c.want)
+			}
+			if c.want != Well && (noticed == 0 || noticed > 15*s) || notices > 2 {
+				t.Errorf("noticed %.1f s after, %d notices", (noticed - 10*s).Seconds(), notices)
+			}
+		})
+	}
+}
+
+// TestOurOwnSideIsCut: when most reporters fall silent while their servers answer, it is told once and no server is blamed;
+// a proxy that stops to answer polls is told apart.
+func TestOurOwnSideIsCut(t *testing.T) {
+	k := New(site())
+	f := far{met: map[fleet.ServerID]reports.Met{}}
+	k.Join(0, 0, 0, true)
+	k.Join(0, 1, 1, true)
+	for id := range fleet.ServerID(4) {
+		k.Listed(id, false)
+	}
+	var text []string
+	for now := s; now < 40*s; now += s {
+		for id := range fleet.ServerID(4) {
+			f.meets(id, 5, 0)
+			if now < 10*s || now > 20*s {
+				k.Pushed(now, Record{Server: id, Stated: now, Arrived: now, Tries: uint64(now)})
+			}
+		}
+		ask, _ := k.Polls(now)
+		for _, id := range ask {
+			if id == 0 || now < 25*s {
+				k.Polled(now, id, f.reading(now))
+			}
+		}
+		for _, n := range k.Look(now) {
+			text = append(text, n.Text)
+		}
+	}
+	all := strings.Join(text, "\n")
+	if len(text) != 3 || !strings.Contains(text[0], "no reports come from 4 of 4") || !strings.Contains(text[1], "come again") ||
+		!strings.Contains(text[2], "has not answered its poll") {
+		t.Errorf("told:\n%s", all)
+	}
+}
+
+// TestTurnsThatTakeTooLong: pushed reports are shed first, polls second, all comes back when turns are short again.
+func TestTurnsThatTakeTooLong(t *testing.T) {
+	k := New(site())
+	k.rows = 10 * rowsPerS
+	var rooms []int
+	var periods []fleet.Time
+	now := s
+	for ; now < 4*s; now += 100 * fleet.Millisecond {
+		k.Took(now, 80*fleet.Millisecond)
+		pushed, rows := k.Room()
+		if n := len(rooms); n == 0 || rooms[n-1] != pushed {
+			rooms, periods = append(rooms, pushed), append(periods, k.period())
+		}
+		if rows != rowsATurn {
+			t.Error("readings that came are not taken")
+		}
+	}
+	if fmt.Sprint(rooms) != "[128 51 10]" || periods[0] != 10*s || periods[1] != 20*s || periods[2] != 40*s {
+		t.Errorf("room for %v pushed reports, polls every %v", rooms, periods)
+	}
+	for ; now < 30*s; now += 100 * fleet.Millisecond {
+		k.Took(now, fleet.Millisecond)
+	}
+	level, misses, _ := k.Shed()
+	if notices := k.Look(now); level != 0 || misses != 30 || len(notices) != 6 || !strings.Contains(notices[0].Text, "turns took up to 80 ms") {
+		t.Errorf("level %d, %d misses, %+v", level, misses, notices)
+	}
+}
+
+// TestPollsAreSpread: 930 proxies are asked evenly over the period, none twice before its answer; with more rows than may be
+// asked for the period grows, and each zone is still asked in each second.
+func TestPollsAreSpread(t *testing.T) {
+	for _, rows := range []int{0, 700} {
+		k := New(site())
+		for i := range 930 {
+			k.Join(0, fleet.ProxyID(i), fleet.ZoneID(i%2), true)
+		}
+		asked, most, now := map[fleet.ProxyID]int{}, 0, fleet.Time(0)
+		zones := [2][40]int{}
+		for ; now < 40*s; now += 10 * fleet.Millisecond {
+			ask, _ := k.Polls(now)
+			most = max(most, len(ask))
+			for _, id := range ask {
+				asked[id]++
+				zones[id%2][now/s]++
+				if rows > 0 {
+					r := reports.NewReading(2)
+					r.At = now
+					for i := range rows {
+						r.Row(fleet.ServerID(i)).Tries = uint64(now / s)
+					}
+					k.Polled(now, id, r)
+					r.Release()
+				}
+			}
+		}
+		if most > 20 || len(asked) != 930 {
+			t.Errorf("%d polls at once, evenly it would be 10; %d of 930 asked", most, len(asked))
+		}
+		for id, n := range asked {
+			if rows == 0 && n != 1 || rows > 0 && (n < 25 || n > 40) {
+				t.Errorf("proxy %d was asked %d times", id, n)
+			}
+		}
+		for z := range zones {
+			for at, n := range zones[z] {
+				if rows > 0 && at > 2 && n < 200 {
+					t.Errorf("in second %d only %d proxies of zone %d were asked", at, n, z)
+				}
+			}
+		}
+	}
+}
+
+func BenchmarkPolled(b *testing.B) { // readings of so many servers folded, and what is told of them; one op is a row
+	for _, servers := range []int{350, 700, 1400} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			st := site()
+			st.ReportsPerS = 500
+			k := New(st)
+			for i := range 930 {
+				k.Join(0, fleet.ProxyID(i), 0, true)
+			}
+			r := reports.NewReading(2)
+			for id := range servers {
+				r.Row(fleet.ServerID(id))
+			}
+			now, i := s, 0
+			round := func() {
+				now += fleet.Millisecond
+				r.At = now
+				for j := range r.Rows {
+					r.Rows[j].Tries, r.Rows[j].Good = uint64(i), uint64(i)
+				}
+				k.Polled(now, fleet.ProxyID(i%930), r)
+				if i++; i%10 == 0 {
+					k.Tell(now)
+				}
+			}
+			for range 2000 {
+				round()
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for n := 0; n < b.N; n += servers {
+				round()
+			}
+		})
+	}
+}
+
+func BenchmarkPushed(b *testing.B) { // one op is a record put, taken and folded
+	st := site()
+	k, box := New(st), &Box{}
+	batch, now := make([]Record, 700), s
+	var taken []Record
+	round := func() {
+		now += s
+		for j := range batch {
+			batch[j] = Record{Server: fleet.ServerID(j), Stated: now, Arrived: now, Tries: uint64(now), HasLoad: true}
+		}
+		box.Put(now, batch)
+		taken = box.Take(1000, taken[:0])
+		for _, r := range taken {
+			k.Pushed(now, r)
+		}
+		k.Tell(now)
+	}
+	for range 10 {
+		round()
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for n := 0; n < b.N; n += len(batch) {
+		round()
+	}
+}
--- /dev/null
+++ b/intake/silence.go
@@ -0,0 +1,332 @@
+package intake
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"cressknot/fleet"
+)
+
+const (
+	lookEvery   = fleet.Second
+	looksKept   = 3                // seconds of what proxies met that a standing goes by
+	looksAlike  = 2                // looks in a row that must agree: one late report is no silence
+	silentLeast = 3 * fleet.Second // without a report this is silence: with the looks, noticed within 5 s
+	silentGaps  = 3                // the same for those that report less often: so many of their gaps
+	pollLate    = 3 * fleet.Second // a proxy that has not answered a poll for so long has stopped to
+	blindLeast  = 3                // sources that fall silent together before our own side is suspected
+	fewTries    = 3                // of which all failed before that says something
+)
+
+// Sight is what is made of a server's silence, or of what others see of it. docs/design/intake.md has the table.
+type Sight uint8
+
+// The sights of a server.
+const (
+	Well      Sight = iota
+	Mute            // its reports stopped, proxies get good answers: its reporter is broken
+	Dead            // its reports stopped and no proxy gets an answer
+	Lost            // its reports stopped and nobody asks it: nothing can be told yet
+	Cut             // it reports, and no proxy gets an answer: cut off from them
+	OneSided        // some proxies get only failures, others answers
+	Unwatched       // it reports growing sums, but no proxy that is polled sends there
+)
+
+// Sights are the words of sights, in their order.
+var Sights = [...]string{"well", "mute", "dead", "lost", "cut", "one-sided", "unwatched"}
+
+func (s Sight) String() string { return Sights[s] }
+
+// standing is what is known of a server as a source, and of what proxies meet there.
+type standing struct {
+	listed, gone bool
+	last         Record
+	pushed       fleet.Time // arrival of the newest report, 0: never
+	every        fleet.Time // mean gap between reports
+	served       uint64     // by its own count, since the governor began
+	erred        uint64
+	fresh        bool // its load waits to be told
+	load         *line
+
+	skew                fleet.Time // what its clock is behind ours, the shortest way in it
+	skewKnown, skewTold bool
+	slow, back          int
+	rebase              bool
+	strikes             int
+	struck              fleet.Time
+	doubled             fleet.Time
+	distrust            fleet.Time // until then
+
+	met     [looksKept]meets
+	grew    [looksKept]uint64 // served, at the looks before
+	sight   Sight
+	maybe   Sight
+	alike   int
+	since   fleet.Time // of the sight
+	told    bool       // staff heard of it
+	goodAt  fleet.Time
+	metTime fleet.Time
+}
+
+// meets is what polls told of a server in a second.
+type meets struct {
+	good, bad     uint32 // polls that met good answers; polls that met failures only
+	tries, failed uint64
+	goodZones     uint64 // by bits
+	badZones      uint64
+}
+
+var pushedLoad = usageKey{proxy: 1<<16 - 1, class: 1<<8 - 1} // the key of lines that tell loads
+
+func (k *Intake) standing(id fleet.ServerID) *standing {
+	for int(id) >= len(k.servers) {
+		k.servers = append(k.servers, make([]standing, max(16, int(id)+1-len(k.servers)))...)
+	}
+	return &k.servers[id]
+}
+
+func (s *standing) loads(now fleet.Time) *line {
+	if s.load == nil {
+		s.load = &line{usage: true, key: pushedLoad, server: s.last.Server, place: -1}
+	}
+	s.load.dueAt, s.load.dirty = max(now, s.load.told), now
+	return s.load
+}
+
+// Listed tells of a server that the list names; gone ones are heard of no more.
+func (k *Intake) Listed(id fleet.ServerID, gone bool) {
+	s := k.standing(id)
+	s.listed, s.gone = !gone, gone
+}
+
+// seen takes what a poll met at a server.
+func (k *Intake) seen(d *Cell) {
+	s := k.standing(d.Server)
+	m := &s.met[0]
+	m.tries, m.failed = m.tries+d.Tries, m.failed+d.Failed
+	s.metTime = d.At
+	switch bit := uint64(1) << (d.Zone & 63); {
+	case d.Failed < d.Tries:
+		m.good++
+		m.goodZones |= bit
+		s.goodAt = d.At
+	case d.Tries >= fewTries:
+		m.bad++
+		m.badZones |= bit
+	}
+}
+
+// Notice is something that staff should hear of, once for each change.
+type Notice struct {
+	Server  fleet.ServerID
+	Proxy   fleet.ProxyID
+	OfProxy bool
+	OfAll   bool
+	Sight   Sight
+	Good    bool // it is over
+	Text    string
+}
+
+// Look works out, once a second, what is to be made of silences, and what of it is news.
+func (k *Intake) Look(now fleet.Time) []Notice {
+	k.at = max(k.at, now)
+	if now < k.looked+lookEvery {
+		return k.taken()
+	}
+	k.looked = now
+	silent, sources := 0, 0
+	for i := range k.servers {
+		s := &k.servers[i]
+		if s.listed && s.pushed > 0 {
+			if sources++; k.silent(s, now) && !s.all().failing() {
+				silent++
+			}
+		}
+	}
+	// Many reporters that fall silent while their servers answer are not broken: we hear nothing.
+	if blind := silent >= blindLeast && 2*silent > sources; blind != k.blind {
+		text := fmt.Sprintf("no reports come from %d of %d servers that answer: the way to this governor is cut, their standing stays", silent, sources)
+		if !blind {
+			text = "reports come again"
+		}
+		k.blind = blind
+		k.notices = append(k.notices, Notice{OfAll: true, Good: !blind, Text: text})
+	}
+	for i := range k.servers {
+		s := &k.servers[i]
+		if !s.listed {
+			s.sight, s.maybe, s.alike, s.told = Well, Well, 0, false
+		} else if sight := k.judge(s, now); sight != s.maybe {
+			s.maybe, s.alike = sight, 1
+		} else if s.alike++; s.alike >= looksAlike && sight != s.sight {
+			s.sight, s.since = sight, now
+			was := s.told
+			if s.told = sight != Well && !(k.blind && (sight == Mute || sight == Lost)); s.told || was {
+				k.notices = append(k.notices, Notice{Server: fleet.ServerID(i), Sight: sight, Good: sight == Well, Text: s.say(sight, now)})
+			}
+		}
+		copy(s.met[1:], s.met[:])
+		copy(s.grew[1:], s.grew[:])
+		s.met[0], s.grew[0] = meets{}, s.served
+	}
+	k.proxiesLate(now)
+	for _, t := range k.trust.strikes {
+		if t.At > k.trust.toldAt {
+			text := t.Text
+			if t.Until > 0 {
+				text += fmt.Sprintf("; its reports are not believed for %.0f s", (t.Until - t.At).Seconds())
+			}
+			if t.Until > 0 || k.trust.first(t) {
+				k.notices = append(k.notices, Notice{Server: t.Server, Text: text})
+			}
+		}
+	}
+	k.trust.toldAt = now
+	return k.taken()
+}
+
+func (k *Intake) taken() []Notice {
+	n := k.notices
+	k.notices = nil
+	return append(n, k.pace.notices()...)
+}
+
+// first tells whether a strike is the first of its source that is kept: those after say the same.
+func (t *Trust) first(s Strike) bool {
+	at := slices.IndexFunc(t.strikes, func(o Strike) bool { return o.Server == s.Server })
+	return at >= 0 && t.strikes[at] == s
+}
+
+func (s *standing) all() (m meets) {
+	for _, one := range s.met {
+		m.good, m.bad, m.tries, m.failed = m.good+one.good, m.bad+one.bad, m.tries+one.tries, m.failed+one.failed
+		m.goodZones, m.badZones = m.goodZones|one.goodZones, m.badZones|one.badZones
+	}
+	return m
+}
+
+func (m meets) failing() bool { return m.good == 0 && m.bad > 0 }
+
+func (k *Intake) silent(s *standing, now fleet.Time) bool {
+	return s.pushed > 0 && now-s.pushed >= max(silentLeast, silentGaps*s.every)
+}
+
+// judge tells one sight from another by what still comes: reports of the server, what polls of proxies meet there, and
+// what the server counts itself.
+func (k *Intake) judge(s *standing, now fleet.Time) Sight {
+	m := s.all()
+	quiet, asked := k.silent(s, now), m.good > 0 || m.bad > 0
+	switch {
+	case m.good > 0 && m.bad > 0 && m.badZones&^m.goodZones != 0: // a zone in which nobody gets an answer
+		return OneSided
+	case quiet && m.good > 0:
+		return Mute
+	case quiet && m.bad > 0:
+		return Dead
+	case quiet:
+		return Lost
+	case s.pushed > 0 && m.failing():
+		return Cut
+	case s.pushed > 0 && !asked && s.served > s.grew[looksKept-1]+fewTries && s.grew[looksKept-1] > 0:
+		return Unwatched
+	}
+	return Well
+}
+
+func (s *standing) say(sight Sight, now fleet.Time) string {
+	m, age := s.all(), (now - s.pushed).Seconds()
+	switch sight {
+	case Mute:
+		return fmt.Sprintf("no report for %.1f s, but it serves: %d of %d tries good in %d s; weighed by what proxies meet", age, m.tries-m.failed, m.tries, looksKept)
+	case Dead:
+		return fmt.Sprintf("no report for %.1f s, and %d of %d tries failed in %d s: it is down", age, m.failed, m.tries, looksKept)
+	case Lost:
+		return fmt.Sprintf("no report for %.1f s, and no proxy asked it: nothing can be told of it", age)
+	case Cut:
+		return fmt.Sprintf("it reports, but all %d tries failed in %d s: cut off from the proxies", m.tries, looksKept)
+	case OneSided:
+		return fmt.Sprintf("proxies of some zones get no answer, others do (%d of %d tries failed): one-sided", m.failed, m.tries)
+	case Unwatched:
+		return "it counts visits that no proxy here sends: proxies that are not polled, or other callers"
+	}
+	return "reports and answers come again"
+}
+
+// proxiesLate tells of proxies that stopped to answer polls, and of their return.
+func (k *Intake) proxiesLate(now fleet.Time) {
+	for _, w := range k.proxies {
+		if late := w.place < 0 && w.sent > 0 && now-w.sent > pollLate; late != w.mute {
+			w.mute = late
+			n := Notice{Proxy: w.id, OfProxy: true, Good: !late, Text: "answers polls again"}
+			if late {
+				n.Text = fmt.Sprintf("has not answered its poll for %.1f s: what it meets is not known, what others meet counts", (now - w.sent).Seconds())
+			}
+			k.notices = append(k.notices, n)
+		}
+	}
+	slices.SortStableFunc(k.notices, func(a, b Notice) int { return cmp.Compare(a.Proxy, b.Proxy) })
+}
+
+// View is what operators see of a server as a source.
+type View struct {
+	Server        fleet.ServerID
+	Sight         Sight
+	Since         fleet.Time
+	Reports       bool       // it ever did
+	Age           fleet.Time // of its newest report
+	Met           fleet.Time // since polls last met it, 0: never
+	Tries, Failed uint64     // that proxies met in the last seconds
+	Served, Erred uint64     // by its own count
+	Load          [4]float32
+	HasLoad       bool
+	Distrust      fleet.Time // not believed until then
+	Skew          fleet.Time
+}
+
+// Views gives all listed servers, by id.
+func (k *Intake) Views(now fleet.Time) []View {
+	var all []View
+	for i := range k.servers {
+		s := &k.servers[i]
+		if !s.listed {
+			continue
+		}
+		m := s.all()
+		v := View{Server: fleet.ServerID(i), Sight: s.sight, Since: s.since, Reports: s.pushed > 0, Tries: m.tries, Failed: m.failed,
+			Served: s.served, Erred: s.erred, Load: s.last.Load, HasLoad: s.last.HasLoad, Skew: s.skew}
+		if s.pushed > 0 {
+			v.Age = k.age(s, now)
+		}
+		if s.metTime > 0 {
+			v.Met = max(1, now-s.metTime)
+		}
+		if s.distrust > now {
+			v.Distrust = s.distrust
+		}
+		for _, of := range k.met { // what answers told, newer than any push
+			if l := of[uint32(i)]; l != nil && l.load != [4]float32{} && !v.HasLoad {
+				v.Load, v.HasLoad = l.load, true
+			}
+		}
+		all = append(all, v)
+	}
+	return all
+}
+
+// ProxyAge tells how long ago a proxy's counters were read, and how often they are.
+func (k *Intake) ProxyAge(now fleet.Time, id fleet.ProxyID) (age, every fleet.Time, ok bool) {
+	w := k.proxies[id]
+	if w == nil || !w.read {
+		return 0, k.period(), false
+	}
+	return now - w.at, k.period(), true
+}
+
+// Distrusted tells until when a server's reports are not believed, 0: they are.
+func (k *Intake) Distrusted(id fleet.ServerID) fleet.Time { return k.standing(id).distrust }
+
+// Trusts gives the latest oddities, oldest first, and how many records were repeated, odd, or not believed.
+func (k *Intake) Trusts() (strikes []Strike, repeated, odd, unbelieved uint64) {
+	return k.trust.strikes, k.trust.Repeated, k.trust.Odd, k.trust.Unbelieved
+}
--- a/reports/read.go
+++ b/reports/read.go
@@ -1,17 +1,82 @@
+// Package reports reads what proxies count: the answers to "show stat" and "show table" become one typed reading, which
+// package intake folds into sums. It holds no clock and no socket.
 package reports
 
 import (
 	"bytes"
+	"sync"
 
 	"cressknot/fleet"
 	"cressknot/runtimeapi"
 	"cressknot/steer"
 )
 
+// Met is what a proxy counts of one server over all classes, since the proxy's start.
+type Met struct {
+	Tries, Failed uint64 // tries that ended; those without a good answer
+	Good          uint64 // good answers that GoodMs is the sum of
+	GoodMs        uint64 // milliseconds
+	Load          [4]float32
+	HasLoad       bool
+}
+
+// Came is what a proxy counts of one class, since the proxy's start.
+type Came struct {
+	Visits   uint64 // that came, refused ones too
+	NoAnswer uint64 // let in and never answered
+}
+
+// Row is what a proxy counts of one server.
+type Row struct {
+	Server fleet.ServerID
+	Met
+}
+
+// Reading is one look at a proxy's counters. Rows has one row for each server.
+type Reading struct {
+	At      fleet.Time // stamped by the loop that takes it in
+	Rows    []Row
+	Classes []Came
+	Lines   []steer.SeenLine // what the proxy holds; may be empty
+	place   []int32          // by server: its row plus 1, 0 for none
+}
+
+var pool = sync.Pool{New: func() any { return new(Reading) }}
+
+// NewReading gives an empty reading of so many classes.
+func NewReading(classes int) *Reading {
+	r := pool.Get().(*Reading)
+	for range classes {
+		r.Classes = append(r.Classes, Came{})
+	}
+	return r
+}
+
+// Release gives a reading back when all of it has been taken over. Nobody may use it after.
+func (r *Reading) Release() {
+	for i := range r.Rows {
+		r.place[r.Rows[i].Server] = 0
+	}
+	r.Rows, r.Lines, r.Classes = r.Rows[:0], r.Lines[:0], r.Classes[:0]
+	pool.Put(r)
+}
+
+// Row gives the row of a server, a new one if there is none. It is good until the next call.
+func (r *Reading) Row(server fleet.ServerID) *Row {
+	for int(server) >= len(r.place) {
+		r.place = append(r.place, make([]int32, max(64, len(r.place)))...)
+	}
+	if r.place[server] == 0 {
+		r.Rows = append(r.Rows, Row{Server: server})
+		r.place[server] = int32(len(r.Rows))
+	}
+	return &r.Rows[r.place[server]-1]
+}
+
 // ReadCounters makes a reading of what "show stat" prints: the lines of servers add up over the classes' backends, the
 // line of a backend gives what came to its class. Servers that lookup doesn't know are left out.
 func ReadCounters(text []byte, backends map[string]fleet.ClassID, classes int, lookup func(string) (fleet.ServerID, bool)) (*Reading, error) {
-	r := &Reading{Servers: make(map[fleet.ServerID]Met, 64), Classes: make([]Came, classes)}
+	r := NewReading(classes)
 	err := runtimeapi.ReadStat(text, func(row *runtimeapi.Stat) error {
 		class, ours := backends[string(row.Proxy)]
 		if !ours || string(row.Server) == "FRONTEND" {
@@ -25,9 +90,8 @@
 		if server, known := lookup(string(row.Server)); known {
 			r.Lines = append(r.Lines, steer.SeenLine{Class: class, Server: server, Weight: int16(min(row.Weight, runtimeapi.WeightMost)),
 				State: stateOf(row.Status)})
-			m := r.Servers[server]
+			m := r.Row(server)
 			m.Tries, m.Failed = m.Tries+row.Good+failed, m.Failed+failed
-			r.Servers[server] = m
 		}
 		return nil
 	})
@@ -50,15 +114,14 @@
 	const unit = 1000 // loads stand in thousandths
 	return runtimeapi.ReadTable(text, func(t *runtimeapi.Tracked) error {
 		server, known := lookup(string(t.Key))
-		m, met := r.Servers[server]
-		if !known || !met {
+		if !known || int(server) >= len(r.place) || r.place[server] == 0 {
 			return nil
 		}
+		m := r.Row(server)
 		m.Good, m.GoodMs, m.HasLoad = t.Good, t.GoodMs, t.HasLoad
 		for i, v := range t.Load {
 			m.Load[i] = float32(v) / unit
 		}
-		r.Servers[server] = m
 		return nil
 	})
 }
