--- a/cmd/cressknot/main.go
+++ b/cmd/cressknot/main.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -64,7 +65,7 @@
 		SilenceErrors: true, SilenceUsage: true, Version: serve.Version,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage{err} })
-	root.AddCommand(serveCommand(), checkCommand(), showCommand(), explainCommand(), guardCommand(), tableCommand(), replayCommand(),
+	root.AddCommand(serveCommand(), checkCommand(), showCommand(), topCommand(), explainCommand(), guardCommand(), tableCommand(), replayCommand(),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: args(cobra.NoArgs),
 			Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), serve.Version) }})
 	return root
@@ -138,11 +139,38 @@
 }
 
 func showCommand() *cobra.Command {
-	c := &cobra.Command{Use: "show info|servers|tables|proxies|orders|log|refusals", Short: "Show what a running governor holds",
-		ValidArgs: []string{"info", "servers", "tables", "proxies", "orders", "log", "refusals"},
-		Args:      args(cobra.MatchAll(cobra.ExactArgs(1), cobra.OnlyValidArgs))}
+	c := &cobra.Command{Use: "show info|servers|tables|proxies|orders|log|refusals|reports|intake|series SERVER [MINUTES]",
+		Short:     "Show what a running governor holds",
+		ValidArgs: []string{"info", "servers", "tables", "proxies", "orders", "log", "refusals", "reports", "intake", "series"}}
+	stale := c.Flags().Bool("stale", false, "with reports: only servers and proxies that something is wrong with")
+	c.Args = args(func(c *cobra.Command, a []string) error {
+		switch {
+		case len(a) == 0 || !slices.Contains(c.ValidArgs, a[0]):
+			return fmt.Errorf("show what? %s", strings.Join(c.ValidArgs, ", "))
+		case a[0] == "series":
+			return cobra.RangeArgs(2, 3)(c, a)
+		case *stale && a[0] != "reports":
+			return errors.New("--stale goes with reports")
+		}
+		return cobra.ExactArgs(1)(c, a)
+	})
+	socket := socketFlag(c)
+	c.RunE = func(c *cobra.Command, a []string) error {
+		if *stale {
+			a = append(a, "stale")
+		}
+		return ask(c.OutOrStdout(), socket, append([]string{"show"}, a...)...)
+	}
+	return c
+}
+
+func topCommand() *cobra.Command {
+	c := &cobra.Command{Use: "top servers age|load|failures [N]", Short: "Show the servers that stand out",
+		Args: args(cobra.RangeArgs(2, 3))}
 	socket := socketFlag(c)
-	c.RunE = func(c *cobra.Command, a []string) error { return ask(c.OutOrStdout(), socket, "show", a[0]) }
+	c.RunE = func(c *cobra.Command, a []string) error {
+		return ask(c.OutOrStdout(), socket, append([]string{"top"}, a...)...)
+	}
 	return c
 }
 
--- a/config/config.go
+++ b/config/config.go
@@ -106,6 +106,8 @@
 		Every     Duration `json:"every"`
 		LinesPerS float64  `json:"linesPerS"`
 		Load      string   `json:"load"`
+		Listen    string   `json:"listen"`
+		Series    string   `json:"series"`
 		Fields    []string `json:"fields"`
 		Probes    bool     `json:"probes"`
 		ProbePath string   `json:"probePath"`
@@ -364,6 +366,9 @@
 	if len(s.Reports.Fields) > 4 {
 		bad("reports.fields", "has %d figures, 4 are the most", len(s.Reports.Fields))
 	}
+	if s.Reports.Load == "pushed" && s.Reports.Listen == "" {
+		bad("reports.listen", "is needed where load figures are pushed")
+	}
 	if s.Me >= s.Governors {
 		bad("me", "is %d of %d governors, counted from 0", s.Me, s.Governors)
 	}
@@ -375,7 +380,7 @@
 	groups     = map[string]fleet.Group{"all": fleet.GroupAll, "zone": fleet.GroupZone, "cell": fleet.GroupCell}
 	admissions = map[string]fleet.Admission{"all": fleet.AdmitAll, "share": fleet.AdmitShare, "rate": fleet.AdmitRate}
 	reportWays = map[string]fleet.ReportWay{"none": fleet.ReportNever, "answers": fleet.ReportInline,
-		"probe": fleet.ReportOnProbe}
+		"probe": fleet.ReportOnProbe, "pushed": fleet.ReportInline}
 	weights = map[string]fleet.ListWeight{"none": fleet.WeightNone, "nominal": fleet.WeightNominal,
 		"rough": fleet.WeightRough, "live": fleet.WeightLive}
 	fields = map[string]fleet.LoadField{"busy": fleet.FieldBusy, "held": fleet.FieldHeld, "queue": fleet.FieldQueue,
--- a/config/schema.cue
+++ b/config/schema.cue
@@ -76,7 +76,9 @@
 	reports: {
 		every:      #Time | *"1s"
 		linesPerS:  number & >0 | *500
-		load:       *"answers" | "probe" | "none" // where servers' load figures are found
+		load:       *"answers" | "pushed" | "probe" | "none" // where servers' load figures are found
+		listen:     string | *""                // host:port where servers push reports, "" for none
+		series:     string | *""                // folder of the time series of reports; "": kept in memory
 		fields: [...("busy" | "held" | "queue" | "service" | "rate" | "errors")] | *["busy", "held", "service"]
 		probes:     bool | *false
 		probePath:  string | *"/probe"
--- a/governor/core.go
+++ b/governor/core.go
@@ -114,6 +114,9 @@
 	c.plane.Ask(c.guard)
 }
 
+// PushedLoads takes load figures from what servers push.
+func (c *Core) PushedLoads() { c.intake.PushedLoads() }
+
 // Break breaks the governor on purpose, for drills: "cold-unbound" takes the bound off cold servers' lines.
 func (c *Core) Break(fault string) { c.broken[fault] = true }
 
--- a/governor/loop.go
+++ b/governor/loop.go
@@ -19,6 +19,7 @@
 	"cressknot/fleet"
 	"cressknot/front"
 	"cressknot/intake"
+	"cressknot/intake/series"
 	"cressknot/list"
 	"cressknot/records"
 	"cressknot/steer"
@@ -57,6 +58,7 @@
 	records *records.Writer
 	recFile io.Closer
 
+	series Series // may be nil
 	took   *hdrhistogram.Histogram
 	tookMu sync.Mutex
 	turns  uint64
@@ -73,6 +75,13 @@
 	Cache     string         // file that keeps the last list; "" for none
 	Cached    *list.Document // the list at the start, if any
 	ProbePath string
+	Series    Series // of reports, for operators; may be nil
+}
+
+// Series keeps what proxies met over time.
+type Series interface {
+	Add(intake.Cell)
+	Read(server fleet.ServerID, from fleet.Time) (points []series.Point, damaged int, err error)
 }
 
 // NewLoop makes a loop that Run runs.
@@ -80,6 +89,9 @@
 	l := &Loop{core: p.Core, names: p.Names, front: p.Front, source: p.Source, log: p.Log, wall: time.Now(),
 		cache: p.Cache, probe: p.ProbePath, place: map[fleet.ProxyID]int{}, box: &intake.Box{}, notify: make(chan struct{}, 1),
 		asks: make(chan func(*Core)), took: hdrhistogram.New(1000, tookMost, 3)}
+	if l.series = p.Series; l.series != nil {
+		l.core.intake.Keep(l.series.Add)
+	}
 	if p.Cached != nil {
 		l.post(list.Update{Scope: fleet.ListCached, Doc: *p.Cached})
 	}
--- a/governor/names.go
+++ b/governor/names.go
@@ -32,6 +32,14 @@
 	return id, ok
 }
 
+// ServerBytes is Server for a name in a buffer.
+func (n *Names) ServerBytes(name []byte) (fleet.ServerID, bool) {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	id, ok := n.byName[string(name)]
+	return id, ok
+}
+
 // Learn gives the id of a name, a new one for a new name; an address that is told replaces none that the list told.
 func (n *Names) Learn(name, addr string) fleet.ServerID {
 	id, _ := n.put(name, addr, false)
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -63,6 +63,7 @@
 	pace    Pace
 	looked  fleet.Time
 	blind   bool
+	pushed  bool // load figures come from what servers push
 	notices []Notice
 	trust   Trust
 	series  func(Cell) // may be nil
@@ -99,6 +100,9 @@
 	return k
 }
 
+// PushedLoads takes load figures from what servers push, before what their answers told.
+func (k *Intake) PushedLoads() { k.pushed = true }
+
 // Keep hands the sums of each server and zone to a series as they are folded.
 func (k *Intake) Keep(series func(Cell)) { k.series = series }
 
@@ -256,10 +260,6 @@
 	}
 	s.served, s.erred = s.served+r.Tries-s.last.Tries, s.erred+r.Failed-s.last.Failed
 	s.last, s.pushed = r, r.Arrived
-	if r.HasLoad && k.site.Report == fleet.ReportOnProbe && k.age(s, now) <= loadPeriods*k.site.ReportEvery && !s.fresh {
-		s.fresh = true
-		k.due.push(s.loads(k.at))
-	}
 }
 
 // age tells how old a server's newest report is, by its own clock as far as that was learned.
@@ -293,13 +293,6 @@
 }
 
 func (k *Intake) tell(l *line, now fleet.Time) (e fleet.Event) {
-	if l.key == pushedLoad {
-		s := &k.servers[l.server]
-		if s.fresh = false; s.listed && k.age(s, now) <= loadPeriods*k.site.ReportEvery {
-			return fleet.Probed{Server: l.server, Outcome: fleet.Answered, Load: append([]float32(nil), s.last.Load[:len(k.site.LoadFields)]...)}
-		}
-		return nil // too old by now: that it is idle would be as wrong as that it is as busy as then
-	}
 	span := max(settleSpan, l.until-l.since)
 	if l.usage {
 		if _, here := k.proxies[l.key.proxy]; here {
@@ -317,8 +310,8 @@
 			if l.good > 0 {
 				h.Latency = fleet.Time(float64(l.goodMs) / float64(l.good) * float64(fleet.Millisecond))
 			}
-			if l.hasLoad {
-				h.Load = append([]float32(nil), l.load[:len(k.site.LoadFields)]...)
+			if load, told := k.loadOf(l, s, now); told {
+				h.Load = append([]float32(nil), load[:len(k.site.LoadFields)]...)
 			}
 			e = h
 		}
@@ -327,6 +320,17 @@
 	return e
 }
 
+// loadOf gives the load that goes with what is told of a server: what it pushed, while that is fresh, else what its answers
+// told. A load is told with the tries that made it: told before them, while tries were still on their way, it read as
+// a fleet that handles nothing and is busy, and classes were squeezed on a quiet day. Where all is too old, none is told:
+// that a silent server is idle would be as wrong as that it is as busy as then.
+func (k *Intake) loadOf(l *line, s *standing, now fleet.Time) (load [4]float32, told bool) {
+	if k.pushed && s.pushed > 0 && s.last.HasLoad && k.age(s, now) <= loadPeriods*k.site.ReportEvery {
+		return s.last.Load, true
+	}
+	return l.load, l.hasLoad
+}
+
 func clip(n uint64) uint32 { return uint32(min(n, 1<<32-1)) }
 
 // Waiting tells how many lines wait to be told, and for how long the oldest has.
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -31,7 +31,7 @@
 
 func site() fleet.Site {
 	return fleet.Site{Zones: []string{"a", "b"}, Classes: make([]fleet.VisitClass, 2), ReportEvery: s,
-		ReportsPerS: 5, LoadFields: []fleet.LoadField{fleet.FieldBusy}, Report: fleet.ReportOnProbe}
+		ReportsPerS: 5, LoadFields: []fleet.LoadField{fleet.FieldBusy}}
 }
 
 // far is a proxy with its counters.
@@ -313,34 +313,48 @@
 }
 
 // TestClocksThatDiffer: ages go by a source's own clock as far as it was learned; what is late by it is not told as a load of
-// now, and a minute of late reports at once doesn't pass for a clock that is off.
+// now, nor as idle, and a minute of late reports at once doesn't pass for a clock that is off. A load never comes without tries.
 func TestClocksThatDiffer(t *testing.T) {
 	k := New(site())
+	k.PushedLoads()
 	k.Listed(1, false)
+	k.Join(0, 1, 0, true)
 	const off = 90 * s // ahead of us
+	f := far{met: map[fleet.ServerID]reports.Met{}}
 	push := func(now, taken fleet.Time) {
 		k.Pushed(now, Record{Server: 1, Stated: taken + off, Arrived: now, HasLoad: true, Load: [4]float32{0.5}})
 	}
-	loads := func(now fleet.Time) (n int) {
+	loads := func(now fleet.Time) (told int) {
+		f.meets(1, 5, 0)
+		k.Polled(now, 1, f.reading(now))
 		events, _ := k.Tell(now)
 		for _, e := range events {
-			if _, ok := e.(fleet.Probed); ok {
-				n++
+			switch e := e.(type) {
+			case fleet.Probed:
+				t.Errorf("%+v tells a load without tries", e)
+			case fleet.Heard:
+				if len(e.Load) > 0 {
+					told++
+					if e.Load[0] != 0.5 {
+						t.Errorf("a load of %v", e.Load)
+					}
+				}
 			}
 		}
-		return n
+		return told
 	}
 	now := 100 * s
+	loads(now)
 	for range 5 {
+		now += s
 		push(now, now-20*fleet.Millisecond)
 		if loads(now) != 1 {
 			t.Errorf("a load of now is not told at %d", now/s)
 		}
-		now += s
 	}
 	for i := range 60 { // a minute late, all at once
 		push(now+60*s, now+fleet.Time(i)*s)
-		if late := 60 - i; loads(now+60*s) > 0 && late > loadPeriods+1 {
+		if late := 60 - i; loads(now+60*s+fleet.Time(i)*fleet.Millisecond) > 0 && late > loadPeriods+1 {
 			t.Errorf("a load %d s old is told", late)
 		}
 	}
--- a/intake/silence.go
+++ b/intake/silence.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	lookEvery   = fleet.Second
-	looksKept   = 3                // seconds of what proxies met that a standing goes by
+	lookEvery   = fleet.Second / 2
+	looksKept   = 6                // looks whose meetings a standing goes by: 3 s
 	looksAlike  = 2                // looks in a row that must agree: one late report is no silence
-	silentLeast = 3 * fleet.Second // without a report this is silence: with the looks, noticed within 5 s
+	silentLeast = 3 * fleet.Second // without a report this is silence: with the looks, noticed within 4 s
 	silentGaps  = 3                // the same for those that report less often: so many of their gaps
 	pollLate    = 3 * fleet.Second // a proxy that has not answered a poll for so long has stopped to
 	blindLeast  = 3                // sources that fall silent together before our own side is suspected
@@ -46,8 +46,6 @@
 	every        fleet.Time // mean gap between reports
 	served       uint64     // by its own count, since the governor began
 	erred        uint64
-	fresh        bool // its load waits to be told
-	load         *line
 
 	skew                fleet.Time // what its clock is behind ours, the shortest way in it
 	skewKnown, skewTold bool
@@ -69,7 +67,7 @@
 	metTime fleet.Time
 }
 
-// meets is what polls told of a server in a second.
+// meets is what polls told of a server between two looks.
 type meets struct {
 	good, bad     uint32 // polls that met good answers; polls that met failures only
 	tries, failed uint64
@@ -77,8 +75,6 @@
 	badZones      uint64
 }
 
-var pushedLoad = usageKey{proxy: 1<<16 - 1, class: 1<<8 - 1} // the key of lines that tell loads
-
 func (k *Intake) standing(id fleet.ServerID) *standing {
 	for int(id) >= len(k.servers) {
 		k.servers = append(k.servers, make([]standing, max(16, int(id)+1-len(k.servers)))...)
@@ -86,14 +82,6 @@
 	return &k.servers[id]
 }
 
-func (s *standing) loads(now fleet.Time) *line {
-	if s.load == nil {
-		s.load = &line{usage: true, key: pushedLoad, server: s.last.Server, place: -1}
-	}
-	s.load.dueAt, s.load.dirty = max(now, s.load.told), now
-	return s.load
-}
-
 // Listed tells of a server that the list names; gone ones are heard of no more.
 func (k *Intake) Listed(id fleet.ServerID, gone bool) {
 	s := k.standing(id)
@@ -128,7 +116,7 @@
 	Text    string
 }
 
-// Look works out, once a second, what is to be made of silences, and what of it is news.
+// Look works out, twice a second, what is to be made of silences, and what of it is news.
 func (k *Intake) Look(now fleet.Time) []Notice {
 	k.at = max(k.at, now)
 	if now < k.looked+lookEvery {
@@ -228,23 +216,23 @@
 		return Lost
 	case s.pushed > 0 && m.failing():
 		return Cut
-	case s.pushed > 0 && !asked && s.served > s.grew[looksKept-1]+fewTries && s.grew[looksKept-1] > 0:
+	case s.pushed > 0 && !asked && k.site.Governors < 2 && s.served > s.grew[looksKept-1]+fewTries && s.grew[looksKept-1] > 0:
 		return Unwatched
 	}
 	return Well
 }
 
 func (s *standing) say(sight Sight, now fleet.Time) string {
-	m, age := s.all(), (now - s.pushed).Seconds()
+	m, age, span := s.all(), (now - s.pushed).Seconds(), (looksKept * lookEvery).Seconds()
 	switch sight {
 	case Mute:
-		return fmt.Sprintf("no report for %.1f s, but it serves: %d of %d tries good in %d s; weighed by what proxies meet", age, m.tries-m.failed, m.tries, looksKept)
+		return fmt.Sprintf("no report for %.1f s, but it serves: %d of %d tries good in %.0f s; weighed by what proxies meet", age, m.tries-m.failed, m.tries, span)
 	case Dead:
-		return fmt.Sprintf("no report for %.1f s, and %d of %d tries failed in %d s: it is down", age, m.failed, m.tries, looksKept)
+		return fmt.Sprintf("no report for %.1f s, and %d of %d tries failed in %.0f s: it is down", age, m.failed, m.tries, span)
 	case Lost:
 		return fmt.Sprintf("no report for %.1f s, and no proxy asked it: nothing can be told of it", age)
 	case Cut:
-		return fmt.Sprintf("it reports, but all %d tries failed in %d s: cut off from the proxies", m.tries, looksKept)
+		return fmt.Sprintf("it reports, but all %d tries failed in %.0f s: cut off from the proxies", m.tries, span)
 	case OneSided:
 		return fmt.Sprintf("proxies of some zones get no answer, others do (%d of %d tries failed): one-sided", m.failed, m.tries)
 	case Unwatched:
--- a/internal/drill/day.cue
+++ b/internal/drill/day.cue
@@ -19,9 +19,9 @@
 	what: "crash" | "slow" | "hang" | "errors" | "pauses" | "neighbour" | "ageing" | "flapping" | "preempt" | "drain" |
 		"shared-slow" | "heavy-tail" | "answers-lost" | "class-fails" | "one-sided" | "slow-link" | "reports-late" |
 		"burst" | "hot-caller" | "proxy-restart" | "proxy-stall" | "governor-kill" | "governor-stall" | "list-down" |
-		"list-late" | "cut" | "slow-reader" | "push" | "bad-table"
+		"list-late" | "cut" | "slow-reader" | "push" | "bad-table" | "flood" | "mute"
 	part:  number & >=0 & <=1 | *0 // of the nodes, proxies or governors; 0: one of them
-	size:  number & >=0 | *0       // times slower, share that fails, times the visits
+	size:  number & >=0 | *0       // times slower, share that fails, times the visits, reports a second
 	every: #Time | *"1s"           // pauses, flapping, stalls: between two
 	class: string | *""
 	push:  *"" | "empty" | "drained" | "crowd" // what staff push: all lines to 0, a drained node back, a cold one alone
@@ -41,6 +41,7 @@
 	guard:     bool | *true
 	faults: [...string] | *[] // of the governors, as their settings have them
 	standing:  int & >=1 | *10 // servers in a proxy's own table
+	pushed:    bool | *false // nodes push reports to all governors, which take load figures from there
 	lineDelay: =~"^[0-9]+us$" | *"30us"
 	classes:   [#Class, ...#Class] | *[
 		#Class & {name: "slot-look", share: 0.4, work: "60ms", expected: "500ms", hardStop: "2s", value: 3},
--- a/internal/drill/day.go
+++ b/internal/drill/day.go
@@ -55,6 +55,7 @@
 	Faults    []string `json:"faults"`
 	Standing  int      `json:"standing"`
 	LineDelay Span     `json:"lineDelay"`
+	Pushed    bool     `json:"pushed"`
 	Classes   []struct {
 		Name     string  `json:"name"`
 		Share    float64 `json:"share"`
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -8,6 +8,7 @@
 	"io"
 	"math"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -49,6 +50,7 @@
 
 type governor struct {
 	name, config, socket, log string
+	reports                   string // host:port that nodes push to, "" for none
 	mu                        sync.Mutex
 	cmd                       *exec.Cmd
 	cpu                       time.Duration // of processes that ended
@@ -101,6 +103,7 @@
 	day, cancel := context.WithTimeout(ctx, time.Duration(o.Day.Length))
 	defer cancel()
 	p.started = time.Now()
+	p.reporters(day)
 	p.callers(day)
 	p.troubles(day)
 	p.force(day)
@@ -263,6 +266,18 @@
 		"operators": map[string]any{"socket": own.socket},
 		"log":       map[string]any{"file": own.log},
 	}
+	if d.Pushed {
+		l, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free now
+		if err != nil {
+			return err
+		}
+		own.reports = l.Addr().String()
+		if err := l.Close(); err != nil {
+			return err
+		}
+		s["reports"] = map[string]any{"load": "pushed", "listen": own.reports}
+		s["front"].(map[string]any)["table"] = "nodes"
+	}
 	if p.Records {
 		s["records"] = filepath.Join(p.dir, own.name+".records")
 	}
@@ -365,6 +380,25 @@
 	}
 }
 
+// reporters lets nodes push what they count.
+func (p *play) reporters(ctx context.Context) {
+	var urls []string
+	for _, g := range p.governors {
+		if g.reports != "" {
+			urls = append(urls, "http://"+g.reports+"/api/v2/write")
+		}
+	}
+	for _, n := range p.nodes {
+		if len(urls) > 0 {
+			p.background.Add(1)
+			go func() {
+				defer p.background.Done()
+				n.Report(ctx, urls)
+			}()
+		}
+	}
+}
+
 // callers lets visits come to each proxy at chance moments, whatever becomes of those before.
 func (p *play) callers(ctx context.Context) {
 	client := &http.Client{Timeout: callMost, Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 10 * time.Second}}
@@ -469,7 +503,7 @@
 	for _, g := range p.governors {
 		cpu, rss := g.usage()
 		row := Governor{Name: g.name, CPU: (g.cpu + cpu).Seconds(), RSS: float64(rss) / (1 << 20), Info: map[string]string{}}
-		if text, err := ask(g.socket, "show info\n"); err == nil {
+		if text, err := ask(g.socket, "show info;show intake\n"); err == nil {
 			for _, l := range splitLines([]byte(text)) {
 				if k, v, ok := cutPair(l); ok {
 					row.Info[k] = v
--- a/internal/drill/report.go
+++ b/internal/drill/report.go
@@ -25,8 +25,11 @@
 	Weights                    []Weights       `json:"weights"`
 	Governors                  []Governor      `json:"governors"`
 	Falls                      Falls           `json:"falls"`
-	Backs                      []float64       `json:"backs_s,omitempty"` // from a way back until a proxy held it, sorted
-	Versions                   map[string]int  `json:"versions"`          // of the first class's tables that proxies ended on
+	Flood                      [3]int64        `json:"flood,omitempty"`     // reports nobody asked for: taken, refused, lost
+	Mutes                      []float64       `json:"mutes_s,omitempty"`   // from a reporter's end until a governor told it from a death
+	Unnoticed                  int             `json:"unnoticed,omitempty"` // those that it did not
+	Backs                      []float64       `json:"backs_s,omitempty"`   // from a way back until a proxy held it, sorted
+	Versions                   map[string]int  `json:"versions"`            // of the first class's tables that proxies ended on
 	PushesTaken, PushesRefused int             // weights that staff set by hand
 	Troubles                   []string        `json:"troubles,omitempty"` // of the drill itself: such a run counts for nothing
 }
@@ -189,6 +192,21 @@
 	if r.PushesTaken+r.PushesRefused > 0 {
 		fmt.Fprintf(out, "\nweights set by hand: %d taken, %d refused\n", r.PushesTaken, r.PushesRefused)
 	}
+	if r.Flood != [3]int64{} {
+		fmt.Fprintf(out, "flood: %d reports taken, %d refused, %d batches lost\n", r.Flood[0], r.Flood[1], r.Flood[2])
+	}
+	if n := len(r.Mutes) + r.Unnoticed; n > 0 {
+		slices.Sort(r.Mutes)
+		fmt.Fprintf(out, "servers whose reports stopped while they served: told apart after %.1f s (p50), %.1f s (most), %d never; of %d\n",
+			quantile(r.Mutes, 0.5), quantile(r.Mutes, 1), r.Unnoticed, n)
+	}
+	for _, g := range r.Governors {
+		if g.Info["Pushed_records"] != "" && g.Info["Pushed_records"] != "0" {
+			fmt.Fprintf(out, "intake of %s: %s records pushed, %s thinned, %s odd, %s unbelieved; tries counted %s, told %s, waiting %s, aged %s, unheard %s; %s deadlines missed\n",
+				g.Name, g.Info["Pushed_records"], g.Info["Pushed_thinned"], g.Info["Pushed_odd"], g.Info["Pushed_unbelieved"], g.Info["Tries_counted"],
+				g.Info["Tries_told"], g.Info["Tries_waiting"], g.Info["Tries_aged"], g.Info["Tries_unheard"], g.Info["Deadlines_missed"])
+		}
+	}
 	if n := len(r.Backs); n > 0 {
 		fmt.Fprintf(out, "from the command to go back until a proxy held that version: p50 %.3f s, p99 %.3f s, most %.3f s; %d proxies\n",
 			quantile(r.Backs, 0.5), quantile(r.Backs, 0.99), r.Backs[n-1], n)
--- a/internal/drill/troubles.go
+++ b/internal/drill/troubles.go
@@ -66,6 +66,8 @@
 	"slow-reader": (*play).slowReader,
 	"push":        (*play).pushTables,
 	"bad-table":   (*play).badTable,
+	"flood":       (*play).flood,
+	"mute":        (*play).mute,
 }
 
 func or(size, otherwise float64) float64 {
@@ -530,3 +532,64 @@
 		p.report.PushesRefused++
 	}
 }
+
+// flood sends reports that nobody asked for to all governors.
+func (p *play) flood(ctx context.Context, t Trouble) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(t.For))
+	defer cancel()
+	nodes, release := p.some(0.25) // whose names it uses: what those say themselves drowns in it
+	defer release()
+	var names []string
+	for _, n := range nodes {
+		names = append(names, n.Name)
+	}
+	var f standin.Flood
+	for i, g := range p.governors {
+		if g.reports != "" {
+			f.Run(ctx, "http://"+g.reports+"/write", names, int(or(t.Size, 10_000)), p.Day.Seed+uint64(i))
+		}
+	}
+	<-ctx.Done()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.report.Flood = [3]int64{f.Sent.Load(), f.Refused.Load(), f.Failed.Load()}
+}
+
+// mute stops the reports of nodes that go on serving, and measures when each governor has noticed which those are.
+func (p *play) mute(ctx context.Context, t Trouble) {
+	nodes, release := p.some(t.Part)
+	defer release()
+	began := time.Now()
+	for _, n := range nodes {
+		n.Mute(true)
+		defer n.Mute(false)
+	}
+	for _, g := range p.governors {
+		p.background.Add(1)
+		go func() {
+			defer p.background.Done()
+			left := map[string]bool{}
+			for _, n := range nodes {
+				left[n.Name] = true
+			}
+			for len(left) > 0 && time.Since(began) < time.Duration(t.For) && sleep(ctx, 5*lookEvery) {
+				text, err := ask(g.socket, "show reports stale\n")
+				if err != nil {
+					continue
+				}
+				for _, l := range splitLines([]byte(text)) {
+					if f := strings.Fields(l); len(f) > 1 && f[1] == "mute" && left[f[0]] {
+						delete(left, f[0])
+						p.mu.Lock()
+						p.report.Mutes = append(p.report.Mutes, time.Since(began).Seconds())
+						p.mu.Unlock()
+					}
+				}
+			}
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.report.Unnoticed += len(left)
+		}()
+	}
+	wait(ctx, t.For)
+}
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -68,6 +68,9 @@
 	recent   []work  // in the last FallFor, while cold
 	rng      *rand.Rand
 	slots    chan struct{}
+	sums     sums
+	begun    time.Time
+	mute     bool // sends no reports
 	server   *http.Server
 	gone     chan struct{} // closed when the process dies
 }
@@ -101,6 +104,7 @@
 	}
 	n.fallen, n.recent, n.held = false, nil, 0
 	n.gone, n.slots = make(chan struct{}), make(chan struct{}, n.load.Cores)
+	n.sums, n.begun = sums{}, time.Now()
 	if !first {
 		n.started = time.Now()
 	}
@@ -271,6 +275,7 @@
 		n.watch.Ran(n.Name, class, visit) // nobody knows whether it ran: it may have
 		hang()
 	case failed:
+		n.count(false, 0)
 		n.watch.Ran(n.Name, class, visit)
 		w.WriteHeader(http.StatusInternalServerError)
 		return
@@ -299,6 +304,7 @@
 	n.mu.Lock()
 	n.smooth()
 	n.service = 0.9*n.service + 0.1*float64(time.Since(served).Milliseconds())
+	n.sums.tries, n.sums.good, n.sums.goodMs = n.sums.tries+1, n.sums.good+1, n.sums.goodMs+time.Since(served).Milliseconds()
 	<-slots
 	if !lost {
 		n.loadHeader(w)
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -20,6 +20,8 @@
 	"cressknot/front/files"
 	"cressknot/front/haproxy"
 	"cressknot/governor"
+	"cressknot/intake/push"
+	"cressknot/intake/series"
 	"cressknot/list"
 	"cressknot/records"
 )
@@ -58,6 +60,9 @@
 	} else {
 		log.Warn().Msg("goes without its guard: for drills only")
 	}
+	if s.Reports.Load == "pushed" {
+		core.PushedLoads()
+	}
 	for _, f := range s.Faults {
 		log.Warn().Str("fault", f).Msg("broken on purpose: for drills only")
 		core.Break(f)
@@ -74,7 +79,30 @@
 			log.Warn().Err(err).Msg("the list kept on disk can't be used")
 		}
 	}
+	kept, err := series.Open(s.Reports.Series, func(id fleet.ServerID) string { name, _ := names.Of(id); return name })
+	if err != nil { // nothing that is decided needs them
+		log.Error().Err(err).Msg("time series of reports are not kept")
+	} else {
+		parts.Series = kept
+		defer func() {
+			if err := kept.Close(); err != nil {
+				log.Error().Err(err).Msg("time series of reports were not closed")
+			}
+		}()
+	}
 	loop := governor.NewLoop(parts)
+	if s.Reports.Listen != "" {
+		taker, err := push.Listen(s.Reports.Listen, loop, push.Words{Loads: s.Reports.Fields, Lookup: names.ServerBytes})
+		if err != nil {
+			return err
+		}
+		log.Info().Str("addr", taker.Addr()).Msg("takes in reports")
+		defer func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.Operators.Stop))
+			defer cancel()
+			_ = taker.Close(ctx)
+		}()
+	}
 	start := records.Start{Governor: s.Name, Site: site, Seed: s.Seed}
 	if err := loop.RecordTo(s.Records, start); err != nil {
 		return err
