--- a/governor/core.go
+++ b/governor/core.go
@@ -276,6 +276,9 @@
 		switch {
 		case n.OfProxy:
 			l.Text = fmt.Sprintf("proxy %s %s", c.proxies[n.Proxy].Name, n.Text)
+		case n.OfSource:
+			name, _ := c.names.Of(n.Server)
+			l.Text = fmt.Sprintf("server %s: %s", name, n.Text)
 		case !n.OfAll:
 			name, _ := c.names.Of(n.Server)
 			l.Text = fmt.Sprintf("server %s %s: %s", name, n.Sight, n.Text)
--- /dev/null
+++ b/governor/flood_test.go
@@ -0,0 +1,163 @@
+package governor
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"cressknot/fleet"
+	"cressknot/front"
+	"cressknot/intake"
+	"cressknot/list"
+	"cressknot/reports"
+	"cressknot/steer"
+)
+
+// floodDay plays half a minute of 30 servers of three sizes and 16 proxies in its own time: visits go by the weights that were
+// sent, servers push their loads, and a crowd sends so many records a second beside. It gives the last weights, how long the
+// longest wait of an honest record was, and where the sums went.
+func floodDay(t *testing.T, flood int) (weights map[string]float64, waited fleet.Time, sums intake.Totals) {
+	const servers, proxies = 30, 16
+	s := fleet.Second
+	site := fleet.Site{Zones: []string{"a", "b"}, Governors: 1, Proxies: proxies, LinesPerS: 15000, MessageHead: 6, BacklogMost: 30000,
+		Travel: s / 20, TravelMost: s / 2, ReportEvery: s, ReportsPerS: 500, BareMost: 5 * s, ColdFrom: 0.2, ColdFor: 15 * s, FallFactor: 3,
+		FallFor: 2 * s, DrainGrace: 3 * s, Report: fleet.ReportInline, OutlierAfter: 3, LoadFields: []fleet.LoadField{fleet.FieldBusy},
+		Classes: []fleet.VisitClass{{Value: 3, Expected: s, HardStop: 4 * s}, {Value: 2, Expected: s, HardStop: 4 * s, Effect: fleet.Unsafe}}}
+	names, crowd := NewNames(), rand.New(rand.NewPCG(4, 4))
+	var all []front.Proxy
+	for i := range proxies {
+		all = append(all, front.Proxy{ID: fleet.ProxyID(i), Name: fmt.Sprint("p", i), Zone: fleet.ZoneID(i % 2), Visits: 20})
+	}
+	core, box := NewCore(site, 1, all, names), &intake.Box{}
+	core.Guarded()
+	core.PushedLoads()
+	now := 1000 * s
+	doc := list.Document{Rev: 1}
+	for i := range servers {
+		doc.Servers = append(doc.Servers, list.Server{Name: fmt.Sprint("s", i), Addr: "x:1", Zone: site.Zones[i%2]})
+	}
+	in := []Input{list.Update{Scope: fleet.ListFull, Doc: doc}}
+	met, came := make([][]reports.Met, proxies), make([]uint64, proxies)
+	for i := range proxies {
+		in = append(in, front.Up{Proxy: fleet.ProxyID(i), Stream: 1, Held: steer.Snapshot{Zone: fleet.ZoneID(i % 2), Weight: 20, Fresh: true}})
+		met[i] = make([]reports.Met, servers)
+	}
+	var share, handled, load [servers]float64
+	var parts [proxies][servers]float64
+	for i := range share {
+		share[i] = 1
+		for p := range parts { // the same visits each time, spread over the proxies
+			parts[p][i] = float64(p*7%proxies) / proxies
+		}
+	}
+	var taken []intake.Record
+	const tick = 10 * fleet.Millisecond
+	for end := now + 40*s; now < end; now += tick {
+		second := now%s == 0
+		if second { // visits of a second, by the weights that stand
+			total := 0.0
+			for _, w := range share {
+				total += w
+			}
+			for i := range share {
+				n := 220 * share[i] / total
+				capacity := []float64{9, 14, 22}[i%3]
+				load[i] = min(1, n/capacity)
+				for p := range met {
+					m := &met[p][i]
+					parts[p][i] += n / proxies
+					one := uint64(parts[p][i])
+					parts[p][i] -= float64(one)
+					m.Tries, m.Good, m.GoodMs = m.Tries+one, m.Good+one, m.GoodMs+one*uint64(100/(1.05-load[i]))
+					came[p] += one
+				}
+				handled[i] += n
+			}
+		}
+		for i := range servers { // each pushes once a second, at its own time
+			if int(now/tick)%100 == i*3 {
+				box.Put(now, []intake.Record{{Server: fleet.ServerID(i), Stated: now, Arrived: now, Tries: uint64(handled[i]), HasLoad: true, Load: [4]float32{float32(load[i])}}})
+			}
+		}
+		for range flood / 100 { // reporters in a loop, late and repeated ones, servers that nothing lists, figures that can't be
+			i := crowd.IntN(300)
+			r := intake.Record{Server: fleet.ServerID(i), Stated: now, Arrived: now, HasLoad: true}
+			if crowd.IntN(2) == 0 {
+				r.Server = 7
+			}
+			if r.Server < servers {
+				r.Tries, r.Load[0] = uint64(handled[r.Server]), float32(load[r.Server])
+				if crowd.IntN(3) == 0 { // what it sent a while ago
+					r.Stated, r.Tries = now-fleet.Time(crowd.IntN(60))*s-s, r.Tries/2
+				}
+			} else if r.Tries = crowd.Uint64(); crowd.IntN(2) == 0 {
+				r.Load[0] = float32(math.NaN())
+			}
+			box.Put(now, []intake.Record{r})
+		}
+		pushed, _ := core.intake.Room()
+		taken = box.Take(pushed, taken[:0])
+		for _, r := range taken {
+			if r.Server < servers && r.Stated == r.Arrived {
+				waited = max(waited, now-r.Arrived)
+			}
+		}
+		out := core.Turn(now, append(in, Pushed(taken)))
+		in = in[:0]
+		for _, m := range out.Messages {
+			in = append(in, front.Answer{Proxy: m.Proxy, Stream: 1, Seq: m.Seq})
+		}
+		for _, id := range out.Polls {
+			r := reports.NewReading(2)
+			r.At = now
+			r.Classes[0].Visits = came[id]
+			for i, m := range met[id] {
+				r.Row(fleet.ServerID(i)).Met = m
+			}
+			in = append(in, front.Polled{Proxy: id, Stream: 1, Reading: r})
+		}
+		for i, l := range core.plane.Tables() {
+			if i == 0 {
+				share = [servers]float64{}
+			}
+			if l.Table == 0 {
+				share[l.Server] = float64(l.Published)
+			}
+		}
+	}
+	weights = map[string]float64{}
+	total := 0.0
+	for _, w := range share {
+		total += w
+	}
+	for i, w := range share {
+		weights[fmt.Sprint("s", i)] = w / total * servers
+	}
+	return weights, waited, core.intake.Totals()
+}
+
+// TestWeightsUnderFlood: the same day without and with 10,000 and 100,000 reports a second that nobody needs. Weights differ by
+// less than 5% of an even share, sums are the same, and no honest record waits for as long as a turn has room for.
+func TestWeightsUnderFlood(t *testing.T) {
+	calm, _, sums := floodDay(t, 0)
+	least, most := math.Inf(1), 0.0
+	for _, w := range calm {
+		least, most = min(least, w), max(most, w)
+	}
+	if most < 1.3*least {
+		t.Fatalf("the day asks for no weights: %.2f to %.2f", least, most)
+	}
+	for _, flood := range []int{10_000, 100_000} {
+		weights, waited, under := floodDay(t, flood)
+		worst := 0.0
+		for name, w := range weights {
+			worst = max(worst, math.Abs(w-calm[name]))
+		}
+		t.Logf("%d reports a second: weights differ by up to %.4f, a record waited up to %.3f s", flood, worst, waited.Seconds())
+		if worst > 0.05 || waited > fleet.Second/10 || math.Abs(float64(under.Counted)-float64(sums.Counted)) > 0.01*float64(sums.Counted) ||
+			under.Counted != under.Told+under.Waiting+under.Aged+under.Unheard {
+			t.Errorf("%d reports a second: weights differ by up to %.4f, a record waited up to %.3f s, sums %+v and %+v", flood, worst, waited.Seconds(), under, sums)
+		}
+	}
+}
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -265,6 +265,9 @@
 	k := New(site())
 	at := func(i int) *standing { return k.standing(fleet.ServerID(i)) }
 	push := func(r Record) { r.Arrived = max(r.Arrived, k.at); k.Pushed(r.Arrived, r) }
+	for id := range fleet.ServerID(50) {
+		k.Listed(id, id == 3) // lines about one that is gone are counted only
+	}
 	for i := range 5 { // counted from the second on
 		push(Record{Server: 1, Started: s, Stated: fleet.Time(i+2) * s, Arrived: fleet.Time(i+2) * s, Tries: 100 * uint64(i+1)})
 	}
@@ -310,6 +313,14 @@
 			t.Errorf("staff are not told %q:\n%s", want, told)
 		}
 	}
+	for i := range fleet.ServerID(20) { // a crowd that lies drowns no log
+		push(Record{Server: 30 + i, Arrived: 101 * s, Failed: 9})
+	}
+	lines := len(k.Look(102 * s))
+	later := fmt.Sprint(k.Look(200 * s))
+	if strings.Contains(told, "\n3 ") || lines >= strikesTold || !strings.Contains(later, "more oddities of sources") {
+		t.Errorf("%d lines of a crowd that lies; later: %s", lines, later)
+	}
 }
 
 // TestClocksThatDiffer: ages go by a source's own clock as far as it was learned; what is late by it is not told as a load of
--- a/intake/silence.go
+++ b/intake/silence.go
@@ -49,7 +49,7 @@
 
 	skew                fleet.Time // what its clock is behind ours, the shortest way in it
 	skewKnown, skewTold bool
-	slow, back          int
+	slow, back, far     int
 	rebase              bool
 	strikes             int
 	struck              fleet.Time
@@ -107,13 +107,14 @@
 
 // Notice is something that staff should hear of, once for each change.
 type Notice struct {
-	Server  fleet.ServerID
-	Proxy   fleet.ProxyID
-	OfProxy bool
-	OfAll   bool
-	Sight   Sight
-	Good    bool // it is over
-	Text    string
+	Server   fleet.ServerID
+	Proxy    fleet.ProxyID
+	OfProxy  bool
+	OfAll    bool
+	OfSource bool // about what it reports, not about a sight of it
+	Sight    Sight
+	Good     bool // it is over
+	Text     string
 }
 
 // Look works out, twice a second, what is to be made of silences, and what of it is news.
@@ -159,21 +160,38 @@
 		s.met[0], s.grew[0] = meets{}, s.served
 	}
 	k.proxiesLate(now)
-	for _, t := range k.trust.strikes {
-		if t.At > k.trust.toldAt {
-			text := t.Text
-			if t.Until > 0 {
-				text += fmt.Sprintf("; its reports are not believed for %.0f s", (t.Until - t.At).Seconds())
-			}
-			if t.Until > 0 || k.trust.first(t) {
-				k.notices = append(k.notices, Notice{Server: t.Server, Text: text})
-			}
-		}
-	}
+	k.strikes(now)
 	k.trust.toldAt = now
 	return k.taken()
 }
 
+// strikes tells of sources that make no sense: of each that is listed the first time and when it is no longer believed, and
+// only so many in a while, as a crowd that lies must not drown the log.
+func (k *Intake) strikes(now fleet.Time) {
+	t := &k.trust
+	if now >= t.toldFrom+strikeFor {
+		if t.untold > 0 {
+			k.notices = append(k.notices, Notice{OfAll: true, Text: fmt.Sprintf("%d more oddities of sources were not told one by one", t.untold)})
+		}
+		t.toldFrom, t.toldNow, t.untold = now, 0, 0
+	}
+	for _, one := range t.strikes {
+		if one.At <= t.toldAt || one.Until == 0 && !t.first(one) {
+			continue
+		}
+		if !k.standing(one.Server).listed || t.toldNow >= strikesTold {
+			t.untold++
+			continue
+		}
+		t.toldNow++
+		text := one.Text
+		if one.Until > 0 {
+			text += fmt.Sprintf("; its reports are not believed for %.0f s", (one.Until - one.At).Seconds())
+		}
+		k.notices = append(k.notices, Notice{Server: one.Server, OfSource: true, Text: text})
+	}
+}
+
 func (k *Intake) taken() []Notice {
 	n := k.notices
 	k.notices = nil
--- a/intake/trust.go
+++ b/intake/trust.go
@@ -9,6 +9,7 @@
 const (
 	skewSlack     = 500 * fleet.Millisecond // a way may take so much longer than the shortest one
 	skewTold      = 5 * fleet.Second        // a clock off by more is worth a line: orders by time would mislead staff
+	strikesTold   = 10                      // lines about oddities within strikeFor
 	strikesMost   = 3                       // oddities within strikeFor after which a source is not believed
 	strikeFor     = 60 * fleet.Second
 	distrustFirst = 30 * fleet.Second // by doubling, as long as it goes on
@@ -30,7 +31,8 @@
 type Trust struct {
 	Repeated, Odd, Unbelieved uint64
 	strikes                   []Strike
-	toldAt                    fleet.Time // strikes up to then were told of
+	toldAt, toldFrom          fleet.Time // strikes up to then were told of; since when toldNow counts
+	toldNow, untold           int
 }
 
 // Strike is one oddity of a source, for operators.
@@ -143,8 +145,10 @@
 	default:
 		s.slow = 0
 	}
-	if far := s.skew > skewTold || s.skew < -skewTold; far != s.skewTold {
-		if s.skewTold = far; far {
+	if far := s.skew > skewTold || s.skew < -skewTold; far == s.skewTold {
+		s.far = 0
+	} else if s.far++; s.far >= strikesMost { // one late report is no clock
+		if s.skewTold, s.far = far, 0; far {
 			t.note(Strike{At: now, Server: r.Server, Text: fmt.Sprintf("its clock is off by %.1f s; its reports are aged by when they come", -s.skew.Seconds())})
 		}
 	}
