--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -68,6 +68,7 @@
 		var counted, base [3]uint64 // by the proxies since the base that the intake knows
 		var known [3]bool
 		due, told, lines, began := uint64(0), uint64(0), 0, now
+		gone, last := map[fleet.ServerID]bool{}, map[string]fleet.Time{}
 		for i := range fars {
 			fars[i].met = map[fleet.ServerID]reports.Met{}
 			k.Join(now, fleet.ProxyID(i), fleet.ZoneID(i%2), true)
@@ -78,9 +79,11 @@
 				lines++
 				if h, ok := e.(fleet.Heard); ok {
 					told += uint64(h.Tries)
-					if h.Failed > h.Tries || h.Span <= 0 || h.Tries > 1e6 || h.Load != nil {
-						t.Fatalf("%+v", h)
+					line := fmt.Sprint(h.Server, h.Zone)
+					if h.Failed > h.Tries || h.Span <= 0 || h.Tries > 1e6 || h.Load != nil || gone[h.Server] || last[line] > 0 && now < last[line]+s*3/4 {
+						t.Fatalf("%+v, gone %v, told last at %d, now %d", h, gone[h.Server], last[line], now)
 					}
+					last[line] = now
 				} else if u := e.(fleet.Usage); u.Span <= 0 || u.Visits > 1e6 {
 					t.Fatalf("%+v", u)
 				}
@@ -117,7 +120,9 @@
 				}
 				k.Join(now, id, fleet.ZoneID(i%2), fresh)
 			case 6:
-				k.Listed(fleet.ServerID(rapid.IntRange(0, 3).Draw(t, "listed")), rapid.Bool().Draw(t, "gone"))
+				id := fleet.ServerID(rapid.IntRange(0, 3).Draw(t, "listed"))
+				gone[id] = rapid.Bool().Draw(t, "gone")
+				k.Listed(id, gone[id])
 			default:
 				tell()
 			}
@@ -178,6 +183,27 @@
 	t.Error("nothing was told")
 }
 
+// TestOneTellingAPeriod: a line that changes all the time is told about once a period, and each time goes on where the last ended.
+func TestOneTellingAPeriod(t *testing.T) {
+	k := New(site())
+	f := far{met: map[fleet.ServerID]reports.Met{}}
+	k.Join(0, 1, 0, true)
+	told, span := 0, fleet.Time(0)
+	for now := s; now < 11*s; now += s / 10 {
+		f.meets(1, 1, 0)
+		k.Polled(now, 1, f.reading(now))
+		events, _ := k.Tell(now)
+		for _, e := range events {
+			if h, ok := e.(fleet.Heard); ok {
+				told, span = told+1, span+h.Span
+			}
+		}
+	}
+	if told < 10 || told > 14 || span < 9*s || span > 10*s {
+		t.Errorf("told %d times, of %.1f s in all", told, span.Seconds())
+	}
+}
+
 // flood pushes records of sources that nobody needs, of one that sends half of all, of servers gone, and broken ones.
 func flood(box *Box, rng *rand.Rand, now fleet.Time, n int) {
 	batch := make([]Record, 0, 100)
@@ -291,12 +317,13 @@
 			t.Errorf("%+v was believed", r)
 		}
 	}
+	push(Record{Server: 20, Arrived: 19 * s, Tries: 3})
 	for i := range 3 {
 		push(Record{Server: 20, Arrived: fleet.Time(20+i) * s, Failed: 9})
 	}
 	push(Record{Server: 20, Arrived: 24 * s, Tries: 5})
 	until := k.Distrusted(20)
-	if until != 22*s+distrustFirst || at(20).pushed != 0 {
+	if until != 22*s+distrustFirst || at(20).pushed != 19*s {
 		t.Errorf("distrusted until %d, pushed %d", until, at(20).pushed)
 	}
 	push(Record{Server: 20, Arrived: until + s, Tries: 500})
@@ -365,8 +392,9 @@
 	}
 	for i := range 60 { // a minute late, all at once
 		push(now+60*s, now+fleet.Time(i)*s)
-		if late := 60 - i; loads(now+60*s+fleet.Time(i)*fleet.Millisecond) > 0 && late > loadPeriods+1 {
-			t.Errorf("a load %d s old is told", late)
+		late := 60 - i
+		if age := k.age(k.standing(1), now+60*s); loads(now+60*s+fleet.Time(i)*fleet.Millisecond) > 0 && late > loadPeriods+1 || age < fleet.Time(late-1)*s {
+			t.Errorf("a load %d s old is told, or taken for %.1f s old", late, age.Seconds())
 		}
 	}
 	notices := fmt.Sprint(k.Look(now + 61*s))
@@ -380,11 +408,23 @@
 	if age := k.age(k.standing(1), now+70*s); age > s {
 		t.Errorf("after its clock was set its report is %.1f s old", age.Seconds())
 	}
+	// The first report of another one is late: the shortest way counts, and one report is no clock.
+	now, k.notices = now+100*s, nil
+	for i, late := range []fleet.Time{10 * s, 0, 0, 10 * s} {
+		at := now + fleet.Time(i)*20*s
+		k.Pushed(at, Record{Server: 2, Stated: at - late, Arrived: at})
+		if age := k.age(k.standing(2), at); i > 0 && age != late {
+			t.Errorf("a report that took %.0f s is taken for %.1f s old", late.Seconds(), age.Seconds())
+		}
+	}
+	if n := k.trust.strikes[len(k.trust.strikes)-1]; n.Server == 2 {
+		t.Errorf("of a clock that is right staff are told %q", n.Text)
+	}
 }
 
 // TestSilences has each of the ways in which reports stop, and a day without any.
 func TestSilences(t *testing.T) {
-	type at struct{ reports, good, failed, elsewhere bool } // of a server, from second 10 on
+	type at struct{ reports, good, failed, elsewhere, late bool } // of a server, from second 10 on
 	for _, c := range []struct {
 		name  string
 		after at
@@ -399,6 +439,7 @@
 		{"one zone gets nothing", at{reports: true, good: true}, true, OneSided},
 		{"visits that nobody polled sends", at{reports: true, elsewhere: true}, false, Unwatched},
 		{"idle", at{reports: true}, false, Well},
+		{"one report late", at{reports: true, good: true, late: true}, false, Well},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			k := New(site())
@@ -425,7 +466,7 @@
 							fars[p].meets(id, 3, 0)
 						}
 					}
-					if served += 3; (is.reports || is.elsewhere) && now%s == 0 {
+					if served += 3; (is.reports || is.elsewhere) && now%s == 0 && (!is.late || now < 11*s || now > 13*s) || is.late && now == 13*s+s/4 {
 						n := served
 						if !is.good && !is.elsewhere {
 							n = 500
@@ -498,19 +539,19 @@
 	k := New(site())
 	k.rows = 10 * rowsPerS
 	var rooms []int
-	var periods []fleet.Time
+	var periods, raised []fleet.Time
 	now := s
 	for ; now < 4*s; now += 100 * fleet.Millisecond {
 		k.Took(now, 80*fleet.Millisecond)
 		pushed, rows := k.Room()
 		if n := len(rooms); n == 0 || rooms[n-1] != pushed {
-			rooms, periods = append(rooms, pushed), append(periods, k.period())
+			rooms, periods, raised = append(rooms, pushed), append(periods, k.period()), append(raised, now)
 		}
 		if rows != rowsATurn {
 			t.Error("readings that came are not taken")
 		}
 	}
-	if fmt.Sprint(rooms) != "[128 51 10]" || periods[0] != 10*s || periods[1] != 20*s || periods[2] != 40*s {
+	if fmt.Sprint(rooms) != "[128 51 10]" || periods[0] != 10*s || periods[1] != 20*s || periods[2] != 40*s || raised[1]-raised[0] < raiseGap || raised[2]-raised[1] < raiseGap {
 		t.Errorf("room for %v pushed reports, polls every %v", rooms, periods)
 	}
 	for ; now < 30*s; now += 100 * fleet.Millisecond {
@@ -567,6 +608,24 @@
 	}
 }
 
+// TestLateAnswersKeepThePlace: a proxy that answers late is asked again in its place of the period, not at once.
+func TestLateAnswersKeepThePlace(t *testing.T) {
+	k := New(site())
+	k.Join(0, 1, 0, true)
+	var asked []fleet.Time
+	for now := fleet.Time(0); now < 30*s; now += 10 * fleet.Millisecond {
+		if n := len(asked); n > 0 && now == asked[n-1]+1300*fleet.Millisecond {
+			k.Polled(now, 1, (&far{}).reading(now))
+		}
+		if ask, _ := k.Polls(now); len(ask) > 0 {
+			asked = append(asked, now)
+		}
+	}
+	if len(asked) != 15 || asked[14] != 28*s {
+		t.Errorf("asked %d times in 30 s: %v", len(asked), asked)
+	}
+}
+
 func BenchmarkPolled(b *testing.B) { // readings of so many servers folded, and what is told of them; one op is a row
 	for _, servers := range []int{350, 700, 1400} {
 		b.Run(fmt.Sprint(servers), func(b *testing.B) {
--- a/intake/polls.go
+++ b/intake/polls.go
@@ -80,8 +80,8 @@
 	for len(k.polls) > 0 && k.polls[0].next <= now {
 		w := heap.Pop(&k.polls).(*watched)
 		w.sent = now
-		if w.next += period; w.next <= now { // asked late: keep the place in the period
-			w.next += (now - w.next) / period * period
+		if w.next += period; w.next <= now { // asked late
+			w.next += ((now-w.next)/period + 1) * period
 		}
 		ask = append(ask, w.id)
 	}
@@ -96,7 +96,9 @@
 	k.rows += n - w.rows
 	w.rows = n
 	if w.place < 0 {
-		w.next = max(w.next, k.at)
+		if period := k.period(); w.next <= k.at { // answered late: it keeps its place in the period, as all answers do that come at once after a stall
+			w.next += ((k.at-w.next)/period + 1) * period
+		}
 		heap.Push(&k.polls, w)
 	}
 }
