--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -145,3 +145,26 @@
 		})
 	}
 }
+
+// TestFloodedGovernorsSeeWhoIsSilent floods two governors with reports that nobody asked for while reporters of nodes that serve
+// on fall silent: the rules are kept, and both governors tell those nodes from dead ones.
+func TestFloodedGovernorsSeeWhoIsSilent(t *testing.T) {
+	r := playDay(t, "flood", func(o *Options) {
+		o.Day.Length = Span(14 * time.Second)
+		o.Day.Troubles = []Trouble{{At: Span(2 * time.Second), For: Span(10 * time.Second), What: "flood", Size: 10_000},
+			{At: Span(4 * time.Second), For: Span(9 * time.Second), What: "mute", Part: 0.17}}
+	})
+	for _, v := range r.Rules {
+		if len(v.Breaks) > 0 {
+			t.Errorf("%s: %v", v.Rule, v.Breaks)
+		}
+	}
+	if len(r.Mutes) != 4 || r.Unnoticed != 0 || r.Flood[0]+r.Flood[1] == 0 {
+		t.Errorf("noticed %v, %d not; flood %v", r.Mutes, r.Unnoticed, r.Flood)
+	}
+	for _, g := range r.Governors {
+		if g.Info["Pushed_thinned"] == "" || g.Info["Pushed_thinned"] == "0" || g.Info["Tries_told"] == "0" {
+			t.Errorf("%s: %v", g.Name, g.Info)
+		}
+	}
+}
