Wake with what was kept: epochs, versions of tables, pins, weights set by hand, lists

After a governor's death its tables had no history to go back to, pins and weights set by hand were gone, and a clock set back would have made versions older than those before.

Each turn gives what changed of what must last; the store keeps it in one commit, operators' answers wait for it. On waking an epoch begins after all before it whatever the clock says, tables go on from checked versions, pins and weights last no longer than they would have, and the newer whole list of two generations counts, less entries that are damaged.

120 lives of governors, each killed at random, some with a clock set back: each wakes with exactly what stood. A store that another process has or a newer program wrote stops the start; any other trouble costs the store only.

--- a/config/config.go
+++ b/config/config.go
@@ -124,6 +124,9 @@
 		Whole      float64 `json:"whole"`
 		WorstClass float64 `json:"worstClass"`
 	} `json:"goal"`
+	Store struct {
+		Folder string `json:"folder"`
+	} `json:"store"`
 	Operators struct {
 		Socket string   `json:"socket"`
 		Stop   Duration `json:"stop"`
@@ -452,7 +455,7 @@
 		{"zones", a.Zones, b.Zones}, {"zone", a.Zone, b.Zone}, {"kinds", a.Kinds, b.Kinds}, {"classes", a.Classes, b.Classes},
 		{"proxies", a.Proxies, b.Proxies}, {"list", a.List, b.List}, {"front", a.Front, b.Front},
 		{"channel", a.Channel, b.Channel}, {"reports", a.Reports, b.Reports}, {"servers", a.Servers, b.Servers},
-		{"goal", a.Goal, b.Goal}, {"guard", a.Guard, b.Guard}, {"faults", a.Faults, b.Faults}, {"operators", a.Operators, b.Operators}} {
+		{"goal", a.Goal, b.Goal}, {"guard", a.Guard, b.Guard}, {"faults", a.Faults, b.Faults}, {"operators", a.Operators, b.Operators}, {"store", a.Store, b.Store}} {
 		if fmt.Sprint(f.a) != fmt.Sprint(f.b) {
 			fields = append(fields, f.name)
 		}
--- a/config/schema.cue
+++ b/config/schema.cue
@@ -106,6 +106,8 @@
 		file:   string | *""                    // "": standard error
 	}
 
+	store: folder: string | *"" // what must last over this governor's death; "": nothing does
+
 	guard: bool | *true // every message is judged before it leaves; false only to see in a drill what it keeps away
 	faults: [...("cold-unbound")] | *[] // for drills: breaks this governor on purpose
 
--- a/governor/core.go
+++ b/governor/core.go
@@ -15,6 +15,7 @@
 	"cressknot/list"
 	"cressknot/logic"
 	"cressknot/steer"
+	"cressknot/store"
 )
 
 const (
@@ -38,6 +39,7 @@
 	Watch    *bool // of the list
 	Fetch    bool
 	List     *list.Document // a new whole list, worth keeping
+	Keep     []store.Change // what has to last
 	Logs     []Line
 	Distrust []fleet.ServerID // sources that are not believed from now on
 	Wake     fleet.Time       // next turn at the latest
@@ -74,6 +76,8 @@
 	unreached map[fleet.ProxyID]string // the last reason told
 	alarms    []alarm
 	started   fleet.Time
+	epoch     uint64
+	keeper    keeper
 	entries   map[fleet.ServerID]fleet.Entry
 	docs      map[string]list.Server // the whole list as told, for the cache
 	rev       uint64
@@ -95,7 +99,7 @@
 	c := &Core{site: site, names: names, zones: map[string]fleet.ZoneID{}, kinds: map[string]fleet.KindID{},
 		proxies: map[fleet.ProxyID]front.Proxy{}, module: logic.New(site, seed), plane: steer.New(site),
 		intake: intake.New(site), streams: map[fleet.ProxyID]uint64{}, unreached: map[fleet.ProxyID]string{}, started: -1,
-		guard: guard.New(site), broken: map[string]bool{}, forces: map[string]force{}, entries: map[fleet.ServerID]fleet.Entry{}, docs: map[string]list.Server{}}
+		guard: guard.New(site), keeper: newKeeper(), broken: map[string]bool{}, forces: map[string]force{}, entries: map[fleet.ServerID]fleet.Entry{}, docs: map[string]list.Server{}}
 	for i, z := range site.Zones {
 		c.zones[z] = fleet.ZoneID(i)
 	}
@@ -140,11 +144,18 @@
 	return e.Started > 0 && now < e.Started+c.site.ColdFor
 }
 
+// begin begins an epoch of versions.
+func (c *Core) begin(epoch uint64) {
+	c.epoch = epoch
+	c.plane.Epoch(epoch, func(id fleet.ServerID) string { name, _ := c.names.Of(id); return name })
+}
+
 // Turn takes in what came and gives what is to be done now.
 func (c *Core) Turn(now fleet.Time, inputs []Input) Output {
 	if c.started < 0 {
-		c.started = now
-		c.plane.Epoch(uint64(now), func(id fleet.ServerID) string { name, _ := c.names.Of(id); return name })
+		if c.started = now; c.epoch == 0 {
+			c.begin(uint64(now))
+		}
 	}
 	var out Output
 	c.events = c.events[:0]
@@ -201,6 +212,10 @@
 	if len(c.held) > 0 {
 		out.Wake = now
 	}
+	if out.List != nil {
+		out.Keep = c.keepList(now, out.List)
+	}
+	out.Keep = append(out.Keep, c.keep()...)
 	return out
 }
 
--- /dev/null
+++ b/governor/kept.go
@@ -0,0 +1,358 @@
+package governor
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+
+	"cressknot/fleet"
+	"cressknot/list"
+	"cressknot/steer"
+	"cressknot/store"
+	"cressknot/tables"
+)
+
+const (
+	wholeEvery = 64 // deltas after which the whole of a table is kept anew: a start folds no more
+	dumpMost   = 100_000
+)
+
+// What lasts over a governor's death. docs/design/store.md has the table of what and why.
+type (
+	keptEpoch struct {
+		Epoch uint64     `json:"epoch"`
+		At    fleet.Time `json:"at"`
+	}
+	keptLine struct {
+		Server string `json:"server"`
+		Weight int    `json:"weight"`
+		Was    int    `json:"was,omitempty"`
+	}
+	keptWhole struct {
+		Version tables.Version `json:"version"`
+		Digest  tables.Digest  `json:"digest"`
+		Lines   []keptLine     `json:"lines"`
+	}
+	keptDelta struct {
+		From       tables.Version `json:"from"`
+		To         tables.Version `json:"to"`
+		FromDigest tables.Digest  `json:"fromDigest"`
+		ToDigest   tables.Digest  `json:"toDigest"`
+		Lines      []keptLine     `json:"lines"`
+		At         fleet.Time     `json:"at"`
+		Why        string         `json:"why,omitempty"`
+	}
+	keptPin struct {
+		Lines []keptLine `json:"lines"`
+		Until fleet.Time `json:"until"`
+		Why   string     `json:"why"`
+	}
+	keptHand struct {
+		Weight int16      `json:"weight"`
+		Until  fleet.Time `json:"until"`
+	}
+	keptList struct {
+		Generation uint64     `json:"generation"`
+		Rev        uint64     `json:"rev"`
+		At         fleet.Time `json:"at"`
+		Entries    int        `json:"entries"`
+	}
+)
+
+// keeper knows what of the core is kept, so that only what changed is kept again.
+type keeper struct {
+	on      bool
+	tables  map[fleet.TableID]*keptTable
+	pins    map[fleet.TableID]steer.Pin
+	hands   map[string]keptHand
+	list    keptList
+	entries [2]map[string]list.Server // by generation's parity: what its records hold
+}
+
+type keptTable struct {
+	at     tables.Version // the newest that is kept
+	whole  tables.Version
+	since  int // deltas since the whole
+	deltas []string
+}
+
+func newKeeper() keeper {
+	return keeper{tables: map[fleet.TableID]*keptTable{}, pins: map[fleet.TableID]steer.Pin{}, hands: map[string]keptHand{},
+		entries: [2]map[string]list.Server{{}, {}}}
+}
+
+func tableKey(id fleet.TableID, parts ...string) string {
+	return store.Join(append([]string{"table", fmt.Sprintf("%05d", id)}, parts...)...)
+}
+
+func deltaKey(id fleet.TableID, v tables.Version) string {
+	return tableKey(id, "delta", fmt.Sprintf("%020d.%020d", v.Epoch, v.Count))
+}
+
+func (c *Core) namedLines(lines []tables.Line) []keptLine {
+	out := make([]keptLine, len(lines))
+	for i, l := range lines {
+		name, _ := c.names.Of(l.Server)
+		out[i] = keptLine{name, l.Weight, l.Was}
+	}
+	return out
+}
+
+func (c *Core) lines(named []keptLine) []tables.Line {
+	out := make([]tables.Line, len(named))
+	for i, l := range named {
+		out[i] = tables.Line{Server: c.names.Learn(l.Server, ""), Weight: l.Weight, Was: l.Was}
+	}
+	return out
+}
+
+// keep gives what has changed of what must last since it was called last.
+func (c *Core) keep() (changes []store.Change) {
+	k := &c.keeper
+	if !k.on {
+		return nil
+	}
+	for _, id := range c.plane.TableIDs() {
+		if book := c.plane.Book(id); book != nil {
+			changes = c.keepTable(changes, id, book)
+		}
+	}
+	pins := map[fleet.TableID]bool{}
+	for _, p := range c.plane.Pins() {
+		pins[p.Table] = true
+		if old, is := k.pins[p.Table]; !is || old.Until != p.Until || old.Why != p.Why {
+			k.pins[p.Table] = p
+			changes = append(changes, store.Change{Key: fmt.Sprintf("pin/%05d", p.Table), Value: keptPin{c.namedLines(p.Weights), p.Until, p.Why}})
+		}
+	}
+	for id := range k.pins {
+		if !pins[id] {
+			delete(k.pins, id)
+			changes = append(changes, store.Change{Key: fmt.Sprintf("pin/%05d", id)})
+		}
+	}
+	hands := map[string]bool{}
+	for _, o := range c.plane.Pushes() {
+		name, _ := c.names.Of(o.Server)
+		key := store.Join("hand", fmt.Sprintf("%05d", o.Table), name)
+		hands[key] = true
+		if now := (keptHand{o.Weight, o.Until}); k.hands[key] != now {
+			k.hands[key] = now
+			changes = append(changes, store.Change{Key: key, Value: now})
+		}
+	}
+	for key := range k.hands {
+		if !hands[key] {
+			delete(k.hands, key)
+			changes = append(changes, store.Change{Key: key})
+		}
+	}
+	return changes
+}
+
+func (c *Core) keepTable(changes []store.Change, id fleet.TableID, book *tables.Table) []store.Change {
+	t := c.keeper.tables[id]
+	if t == nil {
+		t = &keptTable{}
+		c.keeper.tables[id] = t
+	}
+	if t.at == book.Version() {
+		return changes
+	}
+	history := book.History()
+	for _, d := range history {
+		if d.To.Compare(t.at) <= 0 {
+			continue
+		}
+		key := deltaKey(id, d.To)
+		t.deltas = append(t.deltas, key)
+		t.since++
+		changes = append(changes, store.Change{Key: key, Value: keptDelta{d.From, d.To, d.FromDigest, d.ToDigest, c.namedLines(d.Lines), d.At, d.Why}})
+	}
+	t.at = book.Version()
+	for len(t.deltas) > len(history) { // forgotten by the table itself
+		changes = append(changes, store.Change{Key: t.deltas[0]})
+		t.deltas = t.deltas[1:]
+	}
+	if t.since >= wholeEvery || t.whole == tables.None || len(history) > 0 && t.whole.Compare(history[0].From) < 0 {
+		t.whole, t.since = t.at, 0
+		changes = append(changes, store.Change{Key: tableKey(id, "whole"), Value: keptWhole{t.at, book.Digest(), c.namedLines(book.Lines())}})
+	}
+	return changes
+}
+
+// keepList keeps a list beside the one before: an entry a record, so that a damaged one costs itself only, and last the head that
+// makes it count.
+func (c *Core) keepList(now fleet.Time, doc *list.Document) (changes []store.Change) {
+	k := &c.keeper
+	if !k.on {
+		return nil
+	}
+	gen := k.list.Generation + 1
+	held := k.entries[gen%2]
+	slot := strconv.FormatUint(gen%2, 10)
+	there := map[string]bool{}
+	for _, s := range doc.Servers {
+		there[s.Name] = true
+		if old, is := held[s.Name]; !is || old != s {
+			held[s.Name] = s
+			changes = append(changes, store.Change{Key: store.Join("list", slot, "entry", s.Name), Value: s})
+		}
+	}
+	for name := range held {
+		if !there[name] {
+			delete(held, name)
+			changes = append(changes, store.Change{Key: store.Join("list", slot, "entry", name)})
+		}
+	}
+	k.list = keptList{gen, doc.Rev, now, len(doc.Servers)}
+	return append(changes, store.Change{Key: store.Join("list", slot, "head"), Value: k.list})
+}
+
+// Woken is what a governor woke with.
+type Woken struct {
+	Epoch  keptEpoch
+	List   *list.Document // the newest whole one, nil for none
+	ListAt fleet.Time
+	Lost   []string // what was there and can't be believed
+	Tables int
+	Pins   int
+	Hands  int
+}
+
+// Wake takes over what was kept, before the first turn, and begins a new epoch after all before it, whatever the clock says.
+// What is damaged is left out and told.
+func (c *Core) Wake(now fleet.Time, s *store.Store) (w Woken, err error) {
+	wholes, deltas := map[fleet.TableID]keptWhole{}, map[fleet.TableID][]keptDelta{}
+	keys := map[fleet.TableID][]string{}
+	pins, hands := map[fleet.TableID]keptPin{}, map[string]keptHand{}
+	var heads [2]keptList
+	var entries [2][]list.Server
+	damage, err := s.Read("", func(key string, payload []byte) error {
+		var table fleet.TableID
+		var slot int
+		var rest string
+		bad := error(nil)
+		read := func(into any) { bad = json.Unmarshal(payload, into) }
+		switch {
+		case key == "epoch":
+			read(&w.Epoch)
+		case scan(key, "table/%05d/%s", &table, &rest) && rest == "whole":
+			var one keptWhole
+			read(&one)
+			wholes[table] = one
+		case scan(key, "table/%05d/%s", &table, &rest):
+			var one keptDelta
+			read(&one)
+			deltas[table], keys[table] = append(deltas[table], one), append(keys[table], key)
+		case scan(key, "pin/%05d", &table):
+			var one keptPin
+			read(&one)
+			pins[table] = one
+		case scan(key, "hand/%05d/%s", &table, &rest):
+			var one keptHand
+			read(&one)
+			hands[key] = one
+		case scan(key, "list/%1d/%s", &slot, &rest) && slot < 2 && rest == "head":
+			read(&heads[slot])
+		case scan(key, "list/%1d/%s", &slot, &rest) && slot < 2:
+			var one list.Server
+			if read(&one); bad == nil {
+				entries[slot] = append(entries[slot], one)
+			}
+		}
+		if bad != nil {
+			w.Lost = append(w.Lost, key+": "+bad.Error())
+		}
+		return nil
+	})
+	for _, d := range damage {
+		w.Lost = append(w.Lost, d.String())
+	}
+	if err != nil {
+		return w, err
+	}
+	c.keeper.on = true
+	c.begin(max(uint64(now), w.Epoch.Epoch+1))
+	w.Epoch = keptEpoch{c.epoch, now}
+	c.wakeTables(now, &w, wholes, deltas, keys, pins)
+	c.wakeHands(now, &w, hands)
+	c.wakeList(&w, heads, entries)
+	return w, nil
+}
+
+func (c *Core) wakeTables(now fleet.Time, w *Woken, wholes map[fleet.TableID]keptWhole, deltas map[fleet.TableID][]keptDelta, keys map[fleet.TableID][]string, pins map[fleet.TableID]keptPin) {
+	for _, id := range slices.Sorted(maps.Keys(wholes)) { // so that ids of names are the same each time
+		whole := wholes[id]
+		var ds []tables.Delta
+		for _, d := range deltas[id] {
+			ds = append(ds, tables.Delta{From: d.From, To: d.To, FromDigest: d.FromDigest, ToDigest: d.ToDigest, Lines: c.lines(d.Lines), At: d.At, Why: d.Why})
+		}
+		book, err := c.plane.NewBook(whole.Version, whole.Digest, c.lines(whole.Lines), ds)
+		if err != nil { // its versions begin anew; proxies are read back as always
+			w.Lost = append(w.Lost, fmt.Sprintf("versions of table %d: %v", id, err))
+			continue
+		}
+		c.plane.Restore(id, book, nil)
+		c.keeper.tables[id] = &keptTable{at: book.Version(), whole: whole.Version, since: len(ds), deltas: keys[id]}
+		w.Tables++
+	}
+	for _, id := range slices.Sorted(maps.Keys(pins)) {
+		p := pins[id]
+		one := steer.Pin{Table: id, Weights: c.lines(p.Lines), Until: p.Until, Why: p.Why}
+		if c.keeper.pins[id] = one; now < p.Until && p.Until <= now+steer.PinMost { // a clock that went back makes none longer
+			c.plane.Restore(id, nil, &one)
+			w.Pins++
+		}
+	}
+}
+
+func (c *Core) wakeHands(now fleet.Time, w *Woken, hands map[string]keptHand) {
+	for _, key := range slices.Sorted(maps.Keys(hands)) {
+		h := hands[key]
+		var table fleet.TableID
+		var name string
+		c.keeper.hands[key] = h
+		if scan(key, "hand/%05d/%s", &table, &name) && now < h.Until && h.Until <= now+steer.PushFor {
+			c.plane.RestorePush(steer.Pushed{Table: table, Server: c.names.Learn(name, ""), Weight: h.Weight, Until: h.Until})
+			w.Hands++
+		}
+	}
+}
+
+// wakeList takes the newer generation whose entries are all there; of a damaged newest one what is left of it, unless the one
+// before is whole: staff are told either way.
+func (c *Core) wakeList(w *Woken, heads [2]keptList, entries [2][]list.Server) {
+	order := []int{0, 1}
+	if heads[1].Generation > heads[0].Generation {
+		slices.Reverse(order)
+	}
+	for slot := range entries {
+		for _, s := range entries[slot] {
+			c.keeper.entries[slot][s.Name] = s
+		}
+	}
+	c.keeper.list = heads[order[0]]
+	for _, slot := range order {
+		h := heads[slot]
+		if h.Generation == 0 || len(entries[slot]) == 0 {
+			continue
+		}
+		if missing := h.Entries - len(entries[slot]); missing != 0 {
+			w.Lost = append(w.Lost, fmt.Sprintf("%d of %d entries of the list of rev %d", missing, h.Entries, h.Rev))
+		}
+		w.List, w.ListAt = &list.Document{Rev: h.Rev, Servers: entries[slot]}, h.At
+		return
+	}
+}
+
+func scan(key, form string, into ...any) bool {
+	n, err := fmt.Sscanf(key, form, into...)
+	return err == nil && n == len(into)
+}
+
+// errBehind tells staff that what they set is not on disk.
+var errBehind = errors.New("not kept on disk yet")
--- /dev/null
+++ b/governor/kept_test.go
@@ -0,0 +1,170 @@
+package governor
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+
+	"cressknot/fleet"
+	"cressknot/list"
+	"cressknot/steer"
+	"cressknot/store"
+	"cressknot/tables"
+)
+
+// life is a governor with its store, without sockets: what it must keep is kept at once.
+type life struct {
+	core  *Core
+	store *store.Store
+	woken Woken
+}
+
+func live(t *testing.T, fs vfs.FS, now fleet.Time) *life {
+	t.Helper()
+	s, err := store.Open(store.Options{Folder: "store", FS: fs})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &life{store: s, core: NewCore(fleet.Site{Zones: []string{"a"}, Classes: make([]fleet.VisitClass, 1), LinesPerS: 1e6, BacklogMost: 1e6}, 1, nil, NewNames())}
+	if l.woken, err = l.core.Wake(now, s); err != nil {
+		t.Fatal(err)
+	}
+	l.keep(t, []store.Change{{Key: "epoch", Value: l.woken.Epoch}})
+	return l
+}
+
+func (l *life) keep(t *testing.T, changes []store.Change) {
+	t.Helper()
+	done := make(chan error, 1)
+	if err := l.store.Put(changes, func(err error) { done <- err }); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
+
+// state tells all that must last.
+func (l *life) state() string {
+	var b strings.Builder
+	for _, id := range l.core.plane.TableIDs() {
+		if book := l.core.plane.Book(id); book != nil {
+			fmt.Fprintf(&b, "table %d %s %s %d\n", id, book.Version(), book.Digest(), book.Len())
+			for _, d := range book.History() {
+				lines := l.core.namedLines(d.Lines)
+				slices.SortFunc(lines, func(a, b keptLine) int { return strings.Compare(a.Server, b.Server) })
+				fmt.Fprintf(&b, " %s-%s %v %q\n", d.From, d.To, lines, d.Why)
+			}
+		}
+	}
+	for _, p := range l.core.plane.Pins() {
+		lines := l.core.namedLines(p.Weights)
+		slices.SortFunc(lines, func(a, b keptLine) int { return strings.Compare(a.Server, b.Server) })
+		fmt.Fprintf(&b, "pin %d %d %q %v\n", p.Table, p.Until, p.Why, lines)
+	}
+	var hands []string
+	for _, o := range l.core.plane.Pushes() {
+		name, _ := l.core.names.Of(o.Server)
+		hands = append(hands, fmt.Sprintf("hand %d %s %d %d\n", o.Table, name, o.Weight, o.Until))
+	}
+	slices.Sort(hands)
+	return b.String() + strings.Join(hands, "")
+}
+
+// TestGovernorsWakeWithWhatWasKept lets governors live one after the other, each killed at a random moment, some at a clock that
+// went back: each wakes with exactly the versions, pins and weights that stood, its versions come after all before, and a table's
+// history goes on without a gap.
+func TestGovernorsWakeWithWhatWasKept(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 9))
+		mem := vfs.NewCrashableMem()
+		now, before := 1000*fleet.Second, ""
+		newest := map[fleet.TableID]tables.Version{}
+		for range 6 {
+			l := live(t, mem, now)
+			if got := l.state(); got != before || len(l.woken.Lost) > 0 {
+				t.Fatalf("seed %d: woke with\n%s\nkept was\n%s\nlost %v", seed, got, before, l.woken.Lost)
+			}
+			l.keep(t, l.core.Turn(now, nil).Keep)
+			for range rng.IntN(150) {
+				now += fleet.Second / 10
+				id := fleet.TableID(rng.IntN(2))
+				server := l.core.names.Learn(fmt.Sprint("s", rng.IntN(12)), "x:1")
+				switch rng.IntN(8) {
+				case 0:
+					l.core.plane.Push(now, id, server, int16(rng.IntN(256)), now+steer.PushFor)
+				case 1:
+					l.core.plane.Unpush(now, id, server)
+				case 2:
+					_ = l.core.plane.Pin(now, id, now+fleet.Time(rng.IntN(60)+1)*fleet.Second)
+				case 3:
+					l.core.plane.Unpin(now, id, "lifted")
+				default:
+					l.core.plane.Order(now, []fleet.Order{fleet.Share{Table: id, Server: server, Weight: float32(rng.IntN(9)) / 8}})
+				}
+				out := l.core.Turn(now, nil)
+				l.keep(t, out.Keep)
+				if book := l.core.plane.Book(id); book != nil {
+					if v := book.Version(); v.Compare(newest[id]) < 0 {
+						t.Fatalf("seed %d: version %s after %s", seed, v, newest[id])
+					} else {
+						newest[id] = v
+					}
+				}
+			}
+			before = l.state()
+			mem2 := mem.CrashClone(vfs.CrashCloneCfg{})
+			_ = l.store.Close()
+			if mem = mem2; rng.IntN(3) == 0 {
+				now -= fleet.Time(rng.IntN(10)) * fleet.Second // a clock that is set back; pins last no longer by it
+				before = ""
+				l := live(t, mem, now)
+				if before = l.state(); !strings.Contains(before, "table") && len(newest) > 0 {
+					t.Fatalf("seed %d: nothing is left at a clock set back", seed)
+				}
+				mem2 = mem.CrashClone(vfs.CrashCloneCfg{})
+				_ = l.store.Close()
+				mem = mem2
+			}
+		}
+	}
+}
+
+// TestListsOfTheStore: of two generations the newer one counts; a damaged entry costs itself, and is told; a list that is not
+// written whole does not count.
+func TestListsOfTheStore(t *testing.T) {
+	mem := vfs.NewCrashableMem()
+	l := live(t, mem, fleet.Second)
+	doc := list.Document{Rev: 7}
+	for i := range 5 {
+		doc.Servers = append(doc.Servers, list.Server{Name: fmt.Sprint("s", i), Addr: "x:1", Zone: "a"})
+	}
+	l.keep(t, l.core.keepList(2*fleet.Second, &doc))
+	doc.Rev, doc.Servers = 8, doc.Servers[:4]
+	changes := l.core.keepList(3*fleet.Second, &doc)
+	l.keep(t, changes[:len(changes)-1]) // all but the head
+	wakes := func(rev uint64, servers, lost int) *life {
+		t.Helper()
+		clone := mem.CrashClone(vfs.CrashCloneCfg{})
+		_ = l.store.Close()
+		mem = clone
+		n := live(t, mem, 10*fleet.Second)
+		if n.woken.List == nil || n.woken.List.Rev != rev || len(n.woken.List.Servers) != servers || len(n.woken.Lost) != lost {
+			t.Errorf("woke with %+v, lost %v", n.woken.List, n.woken.Lost)
+		}
+		return n
+	}
+	l = wakes(7, 5, 0)
+	l.keep(t, l.core.keepList(12*fleet.Second, &doc))
+	l = wakes(8, 4, 0)
+	l.keep(t, []store.Change{{Key: "list/0/entry/s2", Value: "no server"}})
+	l = wakes(8, 3, 2) // the entry, and that one is missing
+	doc.Rev = 9
+	l.keep(t, l.core.keepList(13*fleet.Second, &doc))
+	l = wakes(9, 4, 1)
+	_ = l.store.Close()
+}
--- a/governor/loop.go
+++ b/governor/loop.go
@@ -23,6 +23,7 @@
 	"cressknot/list"
 	"cressknot/records"
 	"cressknot/steer"
+	"cressknot/store"
 )
 
 const (
@@ -58,7 +59,8 @@
 	records *records.Writer
 	recFile io.Closer
 
-	series Series // may be nil
+	series Series       // may be nil
+	store  *store.Store // may be nil
 	took   *hdrhistogram.Histogram
 	tookMu sync.Mutex
 	turns  uint64
@@ -75,7 +77,8 @@
 	Cache     string         // file that keeps the last list; "" for none
 	Cached    *list.Document // the list at the start, if any
 	ProbePath string
-	Series    Series // of reports, for operators; may be nil
+	Series    Series       // of reports, for operators; may be nil
+	Store     *store.Store // what must last; may be nil
 }
 
 // Series keeps what proxies met over time.
@@ -89,6 +92,7 @@
 	l := &Loop{core: p.Core, names: p.Names, front: p.Front, source: p.Source, log: p.Log, wall: time.Now(),
 		cache: p.Cache, probe: p.ProbePath, place: map[fleet.ProxyID]int{}, box: &intake.Box{}, notify: make(chan struct{}, 1),
 		asks: make(chan func(*Core)), took: hdrhistogram.New(1000, tookMost, 3)}
+	l.store = p.Store
 	if l.series = p.Series; l.series != nil {
 		l.core.intake.Keep(l.series.Add)
 	}
@@ -258,9 +262,40 @@
 	if out.Stepped {
 		l.record(now, out)
 	}
+	l.keep(out.Keep, nil)
 	return out.Wake
 }
 
+// keep hands what must last to the store, which never makes the loop wait.
+func (l *Loop) keep(changes []store.Change, done func(error)) {
+	if l.store == nil || len(changes) == 0 && done == nil {
+		return
+	}
+	if err := l.store.Put(changes, done); err != nil {
+		l.log.Error().Err(err).Msg("not kept")
+		if done != nil {
+			done(err)
+		}
+	}
+}
+
+// Kept waits until all that was decided so far is on disk, and tells what keeps it from that.
+func (l *Loop) Kept(ctx context.Context) error {
+	if l.store == nil {
+		return nil
+	}
+	done := make(chan error, 1)
+	if err := l.Ask(ctx, func(c *Core) { l.keep(c.keep(), func(err error) { done <- err }) }); err != nil {
+		return err
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return errBehind
+	}
+}
+
 func (l *Loop) say(line Line) {
 	var e *zerolog.Event
 	switch line.Level {
--- a/governor/operators.go
+++ b/governor/operators.go
@@ -105,29 +105,30 @@
 	words []string
 	help  string
 	do    func(o *Operators, c *Core, args []string) string
+	sets  bool // what has to last: the answer waits until it is kept
 }
 
 var commands []command
 
 func init() { // "help" reads the table that it stands in
 	commands = []command{
-		{[]string{"show", "info"}, "the governor: version, clock, counters, time of decisions", (*Operators).showInfo},
-		{[]string{"show", "servers"}, "listed servers: state, health as the module logged it, weights", (*Operators).showServers},
-		{[]string{"show", "tables"}, "lines of all tables, with the weight that proxies are sent", (*Operators).showTables},
-		{[]string{"show", "proxies"}, "proxies: stream, tables, what waits for them", (*Operators).showProxies},
-		{[]string{"show", "orders"}, "the latest orders, oldest first", (*Operators).showOrders},
-		{[]string{"show", "reports"}, "[stale]: servers as sources: what is made of their silence, age, load, trust", (*Operators).showReports},
-		{[]string{"show", "intake"}, "where reports went: sums, what was thinned, shed or not believed", (*Operators).showIntake},
-		{[]string{"show", "series"}, "<server> [minutes]: what proxies met there, a row a minute", (*Operators).showSeries},
-		{[]string{"top", "servers"}, "age|load|failures [n]: the servers that stand out", (*Operators).topServers},
-		{[]string{"show", "log"}, "the latest log lines, oldest first", (*Operators).showLog},
-		{[]string{"explain"}, "<server>: its weights and the reasons that were logged", (*Operators).explain},
-		{[]string{"get", "weight"}, "<server>: its weight in each table", (*Operators).getWeight},
-		{[]string{"show", "refusals"}, "what the guard holds back now, and what is set by hand", (*Operators).showRefusals},
-		{[]string{"set", "weight"}, "<table>/<server> <0-256>: set a line by hand for 5 minutes", (*Operators).setWeight},
-		{[]string{"clear", "weight"}, "<table>/<server>: let the module's weight count again", (*Operators).clearWeight},
-		{[]string{"table"}, "history|show|diff|rollback|pin|unpin T ..., proxies: versions of a table", (*Operators).tableCommand},
-		{[]string{"help"}, "this list", func(o *Operators, c *Core, _ []string) string { return helpText() }},
+		{[]string{"show", "info"}, "the governor: version, clock, counters, time of decisions", (*Operators).showInfo, false},
+		{[]string{"show", "servers"}, "listed servers: state, health as the module logged it, weights", (*Operators).showServers, false},
+		{[]string{"show", "tables"}, "lines of all tables, with the weight that proxies are sent", (*Operators).showTables, false},
+		{[]string{"show", "proxies"}, "proxies: stream, tables, what waits for them", (*Operators).showProxies, false},
+		{[]string{"show", "orders"}, "the latest orders, oldest first", (*Operators).showOrders, false},
+		{[]string{"show", "reports"}, "[stale]: servers as sources: what is made of their silence, age, load, trust", (*Operators).showReports, false},
+		{[]string{"show", "intake"}, "where reports went: sums, what was thinned, shed or not believed", (*Operators).showIntake, false},
+		{[]string{"show", "series"}, "<server> [minutes]: what proxies met there, a row a minute", (*Operators).showSeries, false},
+		{[]string{"top", "servers"}, "age|load|failures [n]: the servers that stand out", (*Operators).topServers, false},
+		{[]string{"show", "log"}, "the latest log lines, oldest first", (*Operators).showLog, false},
+		{[]string{"explain"}, "<server>: its weights and the reasons that were logged", (*Operators).explain, false},
+		{[]string{"get", "weight"}, "<server>: its weight in each table", (*Operators).getWeight, false},
+		{[]string{"show", "refusals"}, "what the guard holds back now, and what is set by hand", (*Operators).showRefusals, false},
+		{[]string{"set", "weight"}, "<table>/<server> <0-256>: set a line by hand for 5 minutes", (*Operators).setWeight, true},
+		{[]string{"clear", "weight"}, "<table>/<server>: let the module's weight count again", (*Operators).clearWeight, true},
+		{[]string{"table"}, "history|show|diff|rollback|pin|unpin T ..., proxies: versions of a table", (*Operators).tableCommand, true},
+		{[]string{"help"}, "this list", func(o *Operators, c *Core, _ []string) string { return helpText() }, false},
 	}
 }
 
@@ -152,6 +153,11 @@
 		if err := o.loop.Ask(ctx, func(core *Core) { text = known.do(o, core, c.Words[n:]) }); err != nil {
 			return fmt.Appendln(nil, err)
 		}
+		if known.sets {
+			if err := o.loop.Kept(ctx); err != nil {
+				text += fmt.Sprintf("It holds while this governor runs, but is not kept on disk: %v.\n", err)
+			}
+		}
 		return []byte(text)
 	}
 	return fmt.Appendf(nil, "%s'%s'. Known are:\n%s", runtimeapi.UnknownPrefix, strings.Join(c.Words, " "), helpText())
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -24,6 +24,7 @@
 	"cressknot/intake/series"
 	"cressknot/list"
 	"cressknot/records"
+	"cressknot/store"
 )
 
 // Version is the program's.
@@ -79,6 +80,20 @@
 			log.Warn().Err(err).Msg("the list kept on disk can't be used")
 		}
 	}
+	if s.Store.Folder != "" {
+		lasting, err := wake(s, core, log, &parts)
+		if err != nil {
+			return err
+		}
+		if lasting != nil {
+			parts.Store = lasting
+			defer func() {
+				if err := lasting.Close(); err != nil {
+					log.Error().Err(err).Msg("not all was kept")
+				}
+			}()
+		}
+	}
 	kept, err := series.Open(s.Reports.Series, func(id fleet.ServerID) string { name, _ := names.Of(id); return name })
 	if err != nil { // nothing that is decided needs them
 		log.Error().Err(err).Msg("time series of reports are not kept")
@@ -136,6 +151,45 @@
 	return err
 }
 
+// wake opens the store and lets the core wake with what was kept. A store that another process has, or that a newer program
+// wrote, stops the start: going on would make two governors of one, or lose what that one kept. Any other trouble costs
+// the store only.
+func wake(s *config.Settings, core *governor.Core, log zerolog.Logger, parts *governor.Parts) (*store.Store, error) {
+	lasting, err := store.Open(store.Options{Folder: s.Store.Folder, Told: func(failing bool, err error) {
+		if failing {
+			log.Error().Err(err).Msg("what must last can't be kept; the governor goes on, and keeps it when that is possible again")
+		} else {
+			log.Info().Msg("all that must last is kept again")
+		}
+	}})
+	var newer *store.NewerError
+	var busy *store.BusyError
+	switch {
+	case errors.As(err, &newer), errors.As(err, &busy):
+		return nil, err
+	case err != nil:
+		log.Error().Err(err).Msg("starts without what was kept, and keeps nothing")
+		return nil, nil
+	}
+	woken, err := core.Wake(fleet.Time(time.Now().UnixNano()), lasting)
+	if err != nil {
+		log.Error().Err(err).Msg("not all that was kept could be read")
+	}
+	for _, lost := range woken.Lost {
+		log.Warn().Str("lost", lost).Msg("damaged in the store")
+	}
+	log.Info().Int("tables", woken.Tables).Int("pins", woken.Pins).Int("weights", woken.Hands).Bool("list", woken.List != nil).Msg("woke")
+	if parts.Cached == nil && woken.List != nil {
+		parts.Cached = woken.List
+		log.Info().Int("servers", len(woken.List.Servers)).Uint64("rev", woken.List.Rev).Time("of", time.Unix(0, int64(woken.ListAt))).Msg("starts from the list in the store")
+	}
+	done := make(chan error, 1) // no version of this epoch leaves before the epoch is on disk
+	if err := lasting.Put([]store.Change{{Key: "epoch", Value: woken.Epoch}}, func(err error) { done <- err }); err == nil {
+		err = <-done
+	}
+	return lasting, nil
+}
+
 // reload takes over what may change and refuses a file that asks for more, whole.
 func reload(path string, s *config.Settings, log zerolog.Logger, loop *governor.Loop, start records.Start) *config.Settings {
 	fresh, err := config.Load(path)
--- a/steer/versions.go
+++ b/steer/versions.go
@@ -296,3 +296,57 @@
 		x.looks, x.seen = 0, nil
 	}
 }
+
+// Pin tells of a table that is held against the module.
+type Pin struct {
+	Table   fleet.TableID
+	Weights []tables.Line
+	Until   fleet.Time
+	Why     string
+}
+
+// Pins gives the pins that stand, by table.
+func (p *Plane) Pins() []Pin {
+	var all []Pin
+	for _, id := range p.tableIDs() {
+		if t := p.tables[id]; t.pin != nil {
+			one := Pin{Table: id, Until: t.pin.until, Why: t.pin.why}
+			for i, w := range t.pin.weights {
+				if w > 0 {
+					one.Weights = append(one.Weights, tables.Line{Server: p.servers[i].id, Weight: int(w)})
+				}
+			}
+			all = append(all, one)
+		}
+	}
+	return all
+}
+
+// NewBook gives what a table's versions are kept in, for Restore.
+func (p *Plane) NewBook(at tables.Version, digest tables.Digest, whole []tables.Line, deltas []tables.Delta) (*tables.Table, error) {
+	return tables.Restore(p.epoch, p.name, tables.Bounds{Lines: keptLines, Age: keptFor}, at, digest, whole, deltas)
+}
+
+// Restore gives a table the versions that were kept of it, and its pin if one stood. It is for a plane that has no orders yet.
+func (p *Plane) Restore(id fleet.TableID, book *tables.Table, pinned *Pin) {
+	t := p.table(id)
+	if book != nil {
+		t.book = book
+	}
+	if pinned == nil {
+		return
+	}
+	for _, l := range pinned.Weights {
+		p.server(l.Server)
+	}
+	weights := make([]int16, len(p.servers))
+	for _, l := range pinned.Weights {
+		weights[p.index[l.Server]] = int16(max(0, min(weightMost, l.Weight)))
+	}
+	t.pin = &pin{weights, pinned.Until, pinned.Why}
+}
+
+// RestorePush takes up a weight that staff had set; it makes no version, as nothing is published yet.
+func (p *Plane) RestorePush(o Pushed) {
+	p.pushes[push{o.Table, p.server(o.Server)}] = pushed{max(0, min(weightMost, o.Weight)), o.Until}
+}
--- a/tables/tables.go
+++ b/tables/tables.go
@@ -93,6 +93,7 @@
 // Table is one class table with its versions. The zero value is not ready; New makes one.
 type Table struct {
 	version Version
+	epoch   uint64 // of versions from here on, if later
 	digest  Digest
 	lines   map[fleet.ServerID]int
 	names   Names
@@ -125,6 +126,41 @@
 	return &Table{version: Version{Epoch: epoch}, lines: map[fleet.ServerID]int{}, names: names, bounds: bounds}
 }
 
+// Restore makes a table of what was kept: the whole at some version, and deltas in their order, some of which lead there and some
+// on. Versions go on in the new epoch. What does not fit is an error; deltas before a gap are left out, as no way leads from them.
+func Restore(epoch uint64, names Names, bounds Bounds, at Version, digest Digest, whole []Line, deltas []Delta) (*Table, error) {
+	t := New(at.Epoch, names, bounds)
+	t.version, t.epoch = at, epoch
+	for _, l := range whole {
+		t.put(l)
+	}
+	if t.digest != digest {
+		return nil, &MismatchError{fmt.Sprintf("version %s should have digest %s, what was kept gives %s", at, digest, t.digest)}
+	}
+	for _, d := range deltas {
+		if d.To.Compare(at) > 0 {
+			if d.From != t.version || d.FromDigest != t.digest {
+				return nil, &MismatchError{fmt.Sprintf("a delta from %s does not go on from version %s", d.From, t.version)}
+			}
+			for _, l := range d.Lines {
+				t.put(l)
+			}
+			if t.version = d.To; t.digest != d.ToDigest {
+				return nil, &MismatchError{fmt.Sprintf("version %s should have digest %s, what was kept gives %s", d.To, d.ToDigest, t.digest)}
+			}
+		}
+		if n := len(t.history); n > 0 && t.history[n-1].To != d.From {
+			t.history, t.kept = nil, 0
+		}
+		t.history = append(t.history, d)
+		t.kept += len(d.Lines)
+	}
+	if n := len(t.history); n > 0 && t.history[n-1].To != t.version {
+		t.history, t.kept = nil, 0
+	}
+	return t, nil
+}
+
 // Version and Digest tell which table this is.
 func (t *Table) Version() Version { return t.version }
 
@@ -169,7 +205,9 @@
 		t.put(l)
 	}
 	clear(t.plans) // they lead to the version before
-	t.version = t.version.Next()
+	if t.version = t.version.Next(); t.version.Epoch < t.epoch {
+		t.version = Version{t.epoch, 1}
+	}
 	d.To, d.ToDigest = t.version, t.digest
 	t.history = append(t.history, d)
 	t.kept += len(d.Lines)
