--- a/cmd/cressknot/main.go
+++ b/cmd/cressknot/main.go
@@ -65,7 +65,7 @@
 		SilenceErrors: true, SilenceUsage: true, Version: serve.Version,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage{err} })
-	root.AddCommand(serveCommand(), checkCommand(), showCommand(), topCommand(), explainCommand(), guardCommand(), tableCommand(), replayCommand(),
+	root.AddCommand(serveCommand(), checkCommand(), showCommand(), topCommand(), explainCommand(), guardCommand(), tableCommand(), storeCommand(), replayCommand(),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: args(cobra.NoArgs),
 			Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), serve.Version) }})
 	return root
--- a/governor/kept_test.go
+++ b/governor/kept_test.go
@@ -168,3 +168,67 @@
 	l = wakes(9, 4, 1)
 	_ = l.store.Close()
 }
+
+// BenchmarkWake is a start after a day at 700 servers: three tables, a version of 20 lines each 2 s for a day in their bounds, the list.
+func BenchmarkWake(b *testing.B) {
+	folder := b.TempDir()
+	s, err := store.Open(store.Options{Folder: folder})
+	if err != nil {
+		b.Fatal(err)
+	}
+	core := func() *Core {
+		return NewCore(fleet.Site{Zones: []string{"a"}, Classes: make([]fleet.VisitClass, 1), LinesPerS: 1e9, BacklogMost: 1e9}, 1, nil, NewNames())
+	}
+	c, now := core(), 1000*fleet.Second
+	if _, err := c.Wake(now, s); err != nil {
+		b.Fatal(err)
+	}
+	doc := list.Document{Rev: 1}
+	for i := range 700 {
+		doc.Servers = append(doc.Servers, list.Server{Name: fmt.Sprintf("node-%04d", i), Addr: "127.0.0.1:80", Zone: "a"})
+	}
+	put := func(changes []store.Change) {
+		done := make(chan error, 1)
+		if err := s.Put(changes, func(err error) { done <- err }); err != nil {
+			b.Fatal(err)
+		}
+		if err := <-done; err != nil {
+			b.Fatal(err)
+		}
+	}
+	put(c.keepList(now, &doc))
+	for i := range 43_200 {
+		now += 2 * fleet.Second
+		var orders []fleet.Order
+		for t := range 3 {
+			for j := range 20 {
+				orders = append(orders, fleet.Share{Table: fleet.TableID(t), Server: c.names.Learn(fmt.Sprintf("node-%04d", (i*7+j*35)%700), ""), Weight: float32(1+(i+j)%9) / 9})
+			}
+		}
+		c.plane.Order(now, orders)
+		if changes := c.keep(); i%100 == 99 {
+			put(changes)
+		} else {
+			_ = s.Put(changes, nil)
+		}
+	}
+	put(nil)
+	f := s.Figures()
+	if err := s.Close(); err != nil {
+		b.Fatal(err)
+	}
+	b.ResetTimer()
+	for b.Loop() {
+		s, err := store.Open(store.Options{Folder: folder})
+		if err != nil {
+			b.Fatal(err)
+		}
+		w, err := core().Wake(now, s)
+		if err != nil || w.Tables != 3 || len(w.Lost) > 0 {
+			b.Fatal(err, w)
+		}
+		_ = s.Close()
+	}
+	b.ReportMetric(float64(f.OnDisk)/(1<<20), "MiB-on-disk")
+	b.ReportMetric(float64(f.Written)/float64(f.Bytes), "write-amplification")
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -53,6 +53,7 @@
 	polls   polls
 	rows    int                // of the last readings of all proxies
 	met     []map[uint32]*line // by zone, then by server
+	cover   []cover            // by zone
 	came    map[usageKey]*line // what came to proxies
 	due     dues               // lines that wait, by when they may be told
 	servers []standing         // by server
@@ -74,6 +75,15 @@
 	class fleet.ClassID
 }
 
+// cover is how much time of a zone's proxies has been read. A line's span is what of it came since the line was told last,
+// over the proxies: so a rate is right from the first telling on, whichever of the proxies had their turn by then. Taken from clocks,
+// the first lines of a start held the tries of some proxies over a time for all, the fleet looked busy and handled
+// little, and classes were squeezed.
+type cover struct {
+	sum     fleet.Time
+	proxies int
+}
+
 // line is one line of sums that waits to be told: what the proxies of a zone met at a server, or what came to a proxy.
 type line struct {
 	usage         bool
@@ -84,7 +94,8 @@
 	good, goodMs  uint64
 	load          [4]float32
 	hasLoad       bool
-	since, until  fleet.Time // the span of the sums
+	since, until  fleet.Time // the span of what came to a proxy
+	cover         fleet.Time // of the zone, when it was told last
 	told          fleet.Time
 	dueAt         fleet.Time
 	dirty         fleet.Time // since when it waits
@@ -95,7 +106,7 @@
 func New(site fleet.Site) *Intake {
 	k := &Intake{site: site, proxies: map[fleet.ProxyID]*watched{}, left: map[fleet.ProxyID]*watched{}, came: map[usageKey]*line{}, trust: newTrust(), pace: newPace()}
 	for range max(1, len(site.Zones)) {
-		k.met = append(k.met, map[uint32]*line{})
+		k.met, k.cover = append(k.met, map[uint32]*line{}), append(k.cover, cover{})
 	}
 	return k
 }
@@ -145,6 +156,9 @@
 	}
 	span := r.At - last
 	keep, share := k.news(span)
+	zone := k.zone(w.zone)
+	before := zone.sum
+	zone.sum += keep
 	for i := range r.Rows {
 		row := &r.Rows[i]
 		old := w.of(row.Server)
@@ -166,6 +180,12 @@
 			d.Failed = min(d.Failed, d.Tries)
 		}
 		l := k.lineOf(row.Server, w.zone)
+		if least := zone.sum - fleet.Time(zone.proxies)*newsPeriods*max(k.site.ReportEvery, k.period()); l.tries == 0 {
+			if l.told == 0 {
+				l.cover = before
+			}
+			l.cover = max(l.cover, least)
+		}
 		k.dirty(l, r.At-keep, r.At)
 		l.tries, l.failed, l.good, l.goodMs = l.tries+d.Tries, l.failed+d.Failed, l.good+d.Good, l.goodMs+d.GoodMs
 		k.totals.Waiting += d.Tries
@@ -205,6 +225,8 @@
 	return left
 }
 
+func (k *Intake) zone(id fleet.ZoneID) *cover { return &k.cover[min(int(id), len(k.cover)-1)] }
+
 func (k *Intake) lineOf(server fleet.ServerID, zone fleet.ZoneID) *line {
 	of := k.met[min(int(zone), len(k.met)-1)]
 	l := of[uint32(server)]
@@ -293,8 +315,8 @@
 }
 
 func (k *Intake) tell(l *line, now fleet.Time) (e fleet.Event) {
-	span := max(settleSpan, l.until-l.since)
 	if l.usage {
+		span := max(settleSpan, l.until-l.since)
 		if _, here := k.proxies[l.key.proxy]; here {
 			e = fleet.Usage{Proxy: l.key.proxy, Class: l.key.class, Visits: clip(l.tries), NoAnswer: clip(l.failed), Span: span}
 		} else {
@@ -306,6 +328,8 @@
 			k.totals.Unheard += l.tries
 		} else {
 			k.totals.Told += l.tries
+			zone := k.zone(l.zone)
+			span := max(settleSpan, (zone.sum-l.cover)/fleet.Time(max(1, zone.proxies)))
 			h := fleet.Heard{Server: l.server, Zone: l.zone, Tries: clip(l.tries), Failed: clip(l.failed), Span: span}
 			if l.good > 0 {
 				h.Latency = fleet.Time(float64(l.goodMs) / float64(l.good) * float64(fleet.Millisecond))
@@ -316,6 +340,9 @@
 			e = h
 		}
 	}
+	if !l.usage {
+		l.cover = k.zone(l.zone).sum
+	}
 	l.tries, l.failed, l.good, l.goodMs, l.hasLoad, l.told = 0, 0, 0, 0, false, now
 	return e
 }
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -183,6 +183,43 @@
 	t.Error("nothing was told")
 }
 
+// TestRatesFromTheFirst: five proxies send a server two tries a second each and are polled at their own times. Each telling from the
+// first on gives the rate of all of them.
+func TestRatesFromTheFirst(t *testing.T) {
+	st := site()
+	st.ReportsPerS = 500
+	k := New(st)
+	var fars [5]far
+	for i := range fars {
+		fars[i].met = map[fleet.ServerID]reports.Met{}
+		k.Join(0, fleet.ProxyID(i), 0, true)
+	}
+	told := 0
+	for now := fleet.Time(0); now < 20*s; now += s / 10 {
+		ask, _ := k.Polls(now)
+		for i := range fars {
+			if (now/(s/10)+fleet.Time(i))%5 == 0 {
+				fars[i].meets(1, 1, 0)
+			}
+		}
+		for _, id := range ask {
+			k.Polled(now, id, fars[id].reading(now))
+		}
+		events, _ := k.Tell(now)
+		for _, e := range events {
+			if h, ok := e.(fleet.Heard); ok {
+				if rate := float64(h.Tries) / h.Span.Seconds(); rate < 9 || rate > 11 {
+					t.Errorf("at %.1f s: %d tries in %.2f s are %.1f a second, not 10", now.Seconds(), h.Tries, h.Span.Seconds(), rate)
+				}
+				told++
+			}
+		}
+	}
+	if told < 15 {
+		t.Errorf("told %d times", told)
+	}
+}
+
 // TestOneTellingAPeriod: a line that changes all the time is told about once a period, and each time goes on where the last ended.
 func TestOneTellingAPeriod(t *testing.T) {
 	k := New(site())
--- a/intake/polls.go
+++ b/intake/polls.go
@@ -48,6 +48,7 @@
 	_, part := math.Modf(float64(rank)*golden + float64(zone)*golden*golden)
 	w.zone, w.next, w.sent, w.mute = zone, now+k.period().Scale(part), 0, false
 	k.proxies[id] = w
+	k.zone(zone).proxies++
 	k.rows += w.rows
 	heap.Push(&k.polls, w)
 }
@@ -61,6 +62,7 @@
 	if delete(k.proxies, id); w.place >= 0 {
 		heap.Remove(&k.polls, w.place)
 	}
+	k.zone(w.zone).proxies--
 	k.rows -= w.rows
 	k.left[id] = w
 }
--- a/internal/drill/day.cue
+++ b/internal/drill/day.cue
@@ -42,6 +42,7 @@
 	faults: [...string] | *[] // of the governors, as their settings have them
 	standing:  int & >=1 | *10 // servers in a proxy's own table
 	pushed:    bool | *false // nodes push reports to all governors, which take load figures from there
+	store:     bool | *true // governors keep what must last over their deaths
 	lineDelay: =~"^[0-9]+us$" | *"30us"
 	classes:   [#Class, ...#Class] | *[
 		#Class & {name: "slot-look", share: 0.4, work: "60ms", expected: "500ms", hardStop: "2s", value: 3},
--- a/internal/drill/day.go
+++ b/internal/drill/day.go
@@ -56,6 +56,7 @@
 	Standing  int      `json:"standing"`
 	LineDelay Span     `json:"lineDelay"`
 	Pushed    bool     `json:"pushed"`
+	Store     bool     `json:"store"`
 	Classes   []struct {
 		Name     string  `json:"name"`
 		Share    float64 `json:"share"`
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -265,7 +265,9 @@
 		"guard": d.Guard, "faults": d.Faults,
 		"operators": map[string]any{"socket": own.socket},
 		"log":       map[string]any{"file": own.log},
-		"store":     map[string]any{"folder": filepath.Join(p.dir, own.name+".store")},
+	}
+	if d.Store {
+		s["store"] = map[string]any{"folder": filepath.Join(p.dir, own.name+".store")}
 	}
 	if d.Pushed {
 		l, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free now
