--- a/governor/core.go
+++ b/governor/core.go
@@ -8,6 +8,9 @@
 	"strconv"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
+	"cressknot/boot"
 	"cressknot/fleet"
 	"cressknot/front"
 	"cressknot/guard"
@@ -78,6 +81,8 @@
 	started   fleet.Time
 	epoch     uint64
 	keeper    keeper
+	gate      *boot.Gate
+	heldList  list.Update // by the gate
 	entries   map[fleet.ServerID]fleet.Entry
 	docs      map[string]list.Server // the whole list as told, for the cache
 	rev       uint64
@@ -99,7 +104,7 @@
 	c := &Core{site: site, names: names, zones: map[string]fleet.ZoneID{}, kinds: map[string]fleet.KindID{},
 		proxies: map[fleet.ProxyID]front.Proxy{}, module: logic.New(site, seed), plane: steer.New(site),
 		intake: intake.New(site), streams: map[fleet.ProxyID]uint64{}, unreached: map[fleet.ProxyID]string{}, started: -1,
-		guard: guard.New(site), keeper: newKeeper(), broken: map[string]bool{}, forces: map[string]force{}, entries: map[fleet.ServerID]fleet.Entry{}, docs: map[string]list.Server{}}
+		guard: guard.New(site), keeper: newKeeper(), gate: boot.NewGate(site.DrainGrace), broken: map[string]bool{}, forces: map[string]force{}, entries: map[fleet.ServerID]fleet.Entry{}, docs: map[string]list.Server{}}
 	for i, z := range site.Zones {
 		c.zones[z] = fleet.ZoneID(i)
 	}
@@ -162,6 +167,7 @@
 	for _, in := range inputs {
 		c.take(now, in, &out)
 	}
+	ungate := c.ungate(now, &out)
 	messages, heard, drops, wake := c.plane.Next(now)
 	out.Messages, out.Drops = messages, drops
 	c.hear(now, heard)
@@ -201,7 +207,7 @@
 	asks, next := c.intake.Polls(now)
 	out.Polls = asks
 	out.Wake = now + idleMost
-	for _, at := range []fleet.Time{wake, more, next} {
+	for _, at := range []fleet.Time{wake, more, next, ungate} {
 		if at > 0 {
 			out.Wake = min(out.Wake, at)
 		}
@@ -332,6 +338,49 @@
 		}
 		return
 	}
+	if u.Scope == fleet.ListFull && c.gated(now, u, out) {
+		return
+	}
+	if u.Scope == fleet.ListDelta && c.heldList.Scope == fleet.ListFull && c.heldList.Doc.Rev > 0 { // it goes on from the one held
+		c.gate.Drop()
+		c.takeList(now, c.heldList, out)
+		c.heldList = list.Update{}
+	}
+	c.takeList(now, u, out)
+}
+
+// gated tells whether a whole list is held back, as it names too few to be believed at once.
+func (c *Core) gated(now fleet.Time, u list.Update, out *Output) bool {
+	stay, digest := 0, xxhash.New()
+	for _, s := range u.Doc.Servers {
+		if _, known := c.docs[s.Name]; known && s.State != "gone" {
+			stay++
+		}
+		_, _ = fmt.Fprintln(digest, s.Name, s.State)
+	}
+	known := len(c.docs)
+	if c.gate.Whole(now, known, stay, digest.Sum64()) == boot.Take {
+		c.heldList = list.Update{}
+		return false
+	}
+	c.heldList = u
+	c.log(out, Line{now, "warn", "list", fmt.Sprintf("rev %d names only %d of %d servers: it is asked for again before it is obeyed", u.Doc.Rev, stay, known)})
+	return true
+}
+
+// ungate obeys a list that was held when nothing better came in its time.
+func (c *Core) ungate(now fleet.Time, out *Output) (wake fleet.Time) {
+	obey, ask, wake := c.gate.Due(now)
+	out.Fetch = out.Fetch || ask
+	if obey {
+		c.log(out, Line{now, "warn", "list", fmt.Sprintf("rev %d is obeyed: nothing better came", c.heldList.Doc.Rev)})
+		c.takeList(now, c.heldList, out)
+		c.heldList = list.Update{}
+	}
+	return wake
+}
+
+func (c *Core) takeList(now fleet.Time, u list.Update, out *Output) {
 	l := fleet.List{Scope: u.Scope, Rev: fleet.ListRev(u.Doc.Rev)}
 	if u.Scope != fleet.ListDelta {
 		clear(c.docs)
--- a/governor/kept_test.go
+++ b/governor/kept_test.go
@@ -1,6 +1,7 @@
 package governor
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -30,9 +31,13 @@
 		t.Fatal(err)
 	}
 	l := &life{store: s, core: NewCore(fleet.Site{Zones: []string{"a"}, Classes: make([]fleet.VisitClass, 1), LinesPerS: 1e6, BacklogMost: 1e6}, 1, nil, NewNames())}
-	if l.woken, err = l.core.Wake(now, s); err != nil {
+	before := keptEpoch{}
+	if _, err := s.Read("epoch", func(_ string, payload []byte) error { return json.Unmarshal(payload, &before) }); err != nil {
 		t.Fatal(err)
 	}
+	if l.woken, err = l.core.Wake(now, s); err != nil || l.woken.Epoch.Epoch <= before.Epoch {
+		t.Fatalf("epoch %d after %d (%v)", l.woken.Epoch.Epoch, before.Epoch, err)
+	}
 	l.keep(t, []store.Change{{Key: "epoch", Value: l.woken.Epoch}})
 	return l
 }
@@ -91,7 +96,9 @@
 			}
 			l.keep(t, l.core.Turn(now, nil).Keep)
 			for range rng.IntN(150) {
-				now += fleet.Second / 10
+				if now += fleet.Second / 10; rng.IntN(60) == 0 { // half a day: the oldest versions are forgotten
+					now += 13 * 3600 * fleet.Second
+				}
 				id := fleet.TableID(rng.IntN(2))
 				server := l.core.names.Learn(fmt.Sprint("s", rng.IntN(12)), "x:1")
 				switch rng.IntN(8) {
@@ -120,7 +127,7 @@
 			mem2 := mem.CrashClone(vfs.CrashCloneCfg{})
 			_ = l.store.Close()
 			if mem = mem2; rng.IntN(3) == 0 {
-				now -= fleet.Time(rng.IntN(10)) * fleet.Second // a clock that is set back; pins last no longer by it
+				now -= fleet.Time(rng.IntN(60)) * fleet.Second // a clock that is set back; pins last no longer by it
 				before = ""
 				l := live(t, mem, now)
 				if before = l.state(); !strings.Contains(before, "table") && len(newest) > 0 {
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -168,3 +169,24 @@
 		}
 	}
 }
+
+// TestTenKills kills a governor outright ten times: the rules are kept, and it ends with the versions that its store led it to.
+func TestTenKills(t *testing.T) {
+	var dir string
+	r := playDay(t, "kills", func(o *Options) { dir = o.Keep })
+	for _, v := range r.Rules {
+		if len(v.Breaks) > 0 {
+			t.Errorf("%s: %v", v.Rule, v.Breaks)
+		}
+	}
+	if len(r.Troubles) > 0 {
+		t.Error(r.Troubles)
+	}
+	log, err := os.ReadFile(filepath.Join(dir, "governor-1.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := strings.Count(string(log), `"message":"woke"`); n != 11 || strings.Contains(string(log), "damaged in the store") || !strings.Contains(string(log), `"list":true`) {
+		t.Errorf("woke %d times, in\n%s", n, log)
+	}
+}
