--- a/store/store.go
+++ b/store/store.go
@@ -426,9 +426,9 @@
 
 func (s *Store) each(prefix string, do func(key string, raw []byte) error) (err error) {
 	defer caught(&err)
-	o := &pebble.IterOptions{LowerBound: []byte(prefix)}
-	if prefix != "" {
-		o.UpperBound = []byte(prefix + "\xff")
+	o := &pebble.IterOptions{}
+	if prefix != "" { // an empty bound is no bound to the library
+		o.LowerBound, o.UpperBound = []byte(prefix), []byte(prefix+"\xff")
 	}
 	it, err := s.db.NewIter(o)
 	if err != nil {
