--- a/governor/kept.go
+++ b/governor/kept.go
@@ -17,7 +17,6 @@
 
 const (
 	wholeEvery = 64 // deltas after which the whole of a table is kept anew: a start folds no more
-	dumpMost   = 100_000
 )
 
 // What lasts over a governor's death. docs/design/store.md has the table of what and why.
