--- a/config/config.go
+++ b/config/config.go
@@ -76,6 +76,7 @@
 		AskWithin Duration `json:"askWithin"`
 		Wait      Duration `json:"wait"`
 		Cache     string   `json:"cache"`
+		Prove     string   `json:"prove"`
 		Weight    string   `json:"weight"`
 	} `json:"list"`
 	Front struct {
--- a/config/schema.cue
+++ b/config/schema.cue
@@ -44,6 +44,7 @@
 		askWithin: #Time | *"10s"               // on request: not asking for so long counts as told
 		wait:      #Time | *"20s"               // http: longest hold of a poll
 		cache:     string | *""                 // file that keeps the last list for the next start
+		prove:     *"connect" | "probe" | "answers" // how servers of a kept list are asked until the source is heard
 		weight:    *"none" | "nominal" | "rough" | "live"
 	}
 
--- a/governor/core.go
+++ b/governor/core.go
@@ -41,7 +41,9 @@
 	Probes   []fleet.ServerID
 	Watch    *bool // of the list
 	Fetch    bool
-	List     *list.Document // a new whole list, worth keeping
+	Proves   []fleet.ServerID // of a kept list: are they there?
+	List     *list.Document   // a whole list that is worth keeping, and when its source stood to it last
+	ListAt   fleet.Time
 	Keep     []store.Change // what has to last
 	Logs     []Line
 	Distrust []fleet.ServerID // sources that are not believed from now on
@@ -82,11 +84,19 @@
 	epoch     uint64
 	keeper    keeper
 	gate      *boot.Gate
-	heldList  list.Update // by the gate
+	doubts    *boot.Doubts
+	learner   *boot.Learner
+	learned   map[fleet.ServerID]boot.Learned // by an earlier life, not told to the module yet
+	recalled  []fleet.Event                   // of it, for the step that comes
+	live      bool                            // the list's source was heard
+	confirmed fleet.Time                      // when it stood to its list last
+	listKept  fleet.Time                      // what was kept of that
+	heldList  list.Update                     // by the gate
 	entries   map[fleet.ServerID]fleet.Entry
 	docs      map[string]list.Server // the whole list as told, for the cache
 	rev       uint64
 	listed    fleet.Time // last list
+	listErr   string     // what ails its source, as told last
 	logs      []Line
 	orders    []Line
 	steps     uint64
@@ -104,7 +114,8 @@
 	c := &Core{site: site, names: names, zones: map[string]fleet.ZoneID{}, kinds: map[string]fleet.KindID{},
 		proxies: map[fleet.ProxyID]front.Proxy{}, module: logic.New(site, seed), plane: steer.New(site),
 		intake: intake.New(site), streams: map[fleet.ProxyID]uint64{}, unreached: map[fleet.ProxyID]string{}, started: -1,
-		guard: guard.New(site), keeper: newKeeper(), gate: boot.NewGate(site.DrainGrace), broken: map[string]bool{}, forces: map[string]force{}, entries: map[fleet.ServerID]fleet.Entry{}, docs: map[string]list.Server{}}
+		guard: guard.New(site), keeper: newKeeper(), gate: boot.NewGate(site.DrainGrace),
+		doubts: boot.NewDoubts(site, true), learner: boot.NewLearner(site), learned: map[fleet.ServerID]boot.Learned{}, broken: map[string]bool{}, forces: map[string]force{}, entries: map[fleet.ServerID]fleet.Entry{}, docs: map[string]list.Server{}}
 	for i, z := range site.Zones {
 		c.zones[z] = fleet.ZoneID(i)
 	}
@@ -126,6 +137,9 @@
 // PushedLoads takes load figures from what servers push.
 func (c *Core) PushedLoads() { c.intake.PushedLoads() }
 
+// AnswersOnly lets only what proxies meet tell of servers of a kept list: they aren't asked themselves.
+func (c *Core) AnswersOnly() { c.doubts = boot.NewDoubts(c.site, false) }
+
 // Break breaks the governor on purpose, for drills: "cold-unbound" takes the bound off cold servers' lines.
 func (c *Core) Break(fault string) { c.broken[fault] = true }
 
@@ -168,11 +182,18 @@
 		c.take(now, in, &out)
 	}
 	ungate := c.ungate(now, &out)
+	doubts := c.doubting(now, &out)
 	messages, heard, drops, wake := c.plane.Next(now)
 	out.Messages, out.Drops = messages, drops
 	c.hear(now, heard)
 	told, more := c.intake.Tell(now)
 	c.events = append(c.events, told...)
+	for _, e := range told {
+		if e, ok := e.(fleet.Heard); ok {
+			c.doubts.Met(now, e.Server, float64(e.Tries)-float64(e.Failed), float64(e.Failed))
+			c.learner.Heard(now, e)
+		}
+	}
 	c.due(now)
 	if len(c.events) > 0 || c.steps == 0 && c.site.ListOnRequest { // with a list that comes by itself, first hear it
 		for _, e := range c.events {
@@ -180,6 +201,8 @@
 				c.guard.Hear(now, e)
 			}
 		}
+		c.events = append(c.events, c.recalled...) // for the module alone: the guard goes by what is heard now
+		c.recalled = c.recalled[:0]
 		orders := c.module.Step(now, c.events)
 		c.steps++
 		out.Stepped, out.Events, out.Orders = true, c.events, orders
@@ -207,7 +230,7 @@
 	asks, next := c.intake.Polls(now)
 	out.Polls = asks
 	out.Wake = now + idleMost
-	for _, at := range []fleet.Time{wake, more, next, ungate} {
+	for _, at := range []fleet.Time{wake, more, next, ungate, doubts} {
 		if at > 0 {
 			out.Wake = min(out.Wake, at)
 		}
@@ -218,10 +241,15 @@
 	if len(c.held) > 0 {
 		out.Wake = now
 	}
+	if out.List == nil && c.live && c.confirmed >= c.listKept+boot.ConfirmGap {
+		out.List = c.document()
+	}
 	if out.List != nil {
-		out.Keep = c.keepList(now, out.List)
+		out.ListAt, c.listKept = c.confirmed, c.confirmed
+		out.Keep = c.keepList(out.ListAt, out.List)
 	}
 	out.Keep = append(out.Keep, c.keep()...)
+	out.Keep = append(out.Keep, c.keepLearned(now)...)
 	return out
 }
 
@@ -275,6 +303,8 @@
 		}
 	case list.Update:
 		c.list(now, in, out)
+	case Proof:
+		c.doubts.Asked(now, in.Server, in.Of)
 	case fleet.Probed:
 		c.events = append(c.events, in)
 	case Pushed:
@@ -329,8 +359,11 @@
 
 // list turns names into ids and hands the list on.
 func (c *Core) list(now fleet.Time, u list.Update, out *Output) {
-	if u.Err != nil {
-		c.log(out, Line{now, "warn", "list", u.Err.Error()})
+	if u.Err == nil {
+		c.listErr = ""
+	} else if why := u.Err.Error(); why != c.listErr { // once for each reason: it may be away for hours
+		c.listErr = why
+		c.log(out, Line{now, "warn", "list", why})
 	}
 	if u.Scope == fleet.ListFailed {
 		if c.site.ListOnRequest {
@@ -338,6 +371,14 @@
 		}
 		return
 	}
+	if u.Same {
+		c.confirmed = now
+		return
+	}
+	if u.Scope == fleet.ListCached {
+		c.cached(now, u, out)
+		return
+	}
 	if u.Scope == fleet.ListFull && c.gated(now, u, out) {
 		return
 	}
@@ -358,7 +399,7 @@
 		}
 		_, _ = fmt.Fprintln(digest, s.Name, s.State)
 	}
-	known := len(c.docs)
+	known := len(c.docs) - c.doubts.Refuted() // those are known to be gone already
 	if c.gate.Whole(now, known, stay, digest.Sum64()) == boot.Take {
 		c.heldList = list.Update{}
 		return false
@@ -414,18 +455,39 @@
 		l.Entries = append(l.Entries, e)
 	}
 	c.rev, c.listed = u.Doc.Rev, now
+	if u.Scope != fleet.ListCached {
+		c.live, c.confirmed = true, now
+		c.doubts.Live(now, l)
+		out.List = c.document()
+	}
+	c.tell(now, l)
+	for _, e := range l.Entries {
+		c.learner.Listed(e)
+		if f, was := c.learned[e.Server]; was {
+			delete(c.learned, e.Server)
+			for _, h := range boot.Recall(now, c.site, e, f) {
+				c.recalled = append(c.recalled, h)
+			}
+		}
+	}
+}
+
+// tell tells all that go by it of a list.
+func (c *Core) tell(now fleet.Time, l fleet.List) {
 	c.sources(l)
 	c.guard.Hear(now, l) // before the plane asks it what the list makes of lines that stand
 	c.plane.List(now, l)
 	c.events = append(c.events, l)
-	if u.Scope != fleet.ListCached {
-		doc := list.Document{Rev: u.Doc.Rev}
-		for _, s := range c.docs {
-			doc.Servers = append(doc.Servers, s)
-		}
-		slices.SortFunc(doc.Servers, func(a, b list.Server) int { return strings.Compare(a.Name, b.Name) })
-		out.List = &doc
+}
+
+// document gives the whole list.
+func (c *Core) document() *list.Document {
+	doc := list.Document{Rev: c.rev}
+	for _, s := range c.docs {
+		doc.Servers = append(doc.Servers, s)
 	}
+	slices.SortFunc(doc.Servers, func(a, b list.Server) int { return strings.Compare(a.Name, b.Name) })
+	return &doc
 }
 
 // sources tells intake which servers are listed.
--- /dev/null
+++ b/governor/dark_test.go
@@ -0,0 +1,165 @@
+package governor
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"cressknot/boot"
+	"cressknot/fleet"
+	"cressknot/front"
+	"cressknot/list"
+	"cressknot/steer"
+)
+
+// dark is a core with two proxies that join fresh, on time of its own. Servers answer asks if they are up; proxies take what they
+// are sent.
+type dark struct {
+	core *Core
+	now  fleet.Time
+	up   map[string]bool
+	held [2]map[string]int16 // by proxy: weights of lines that may be picked
+	doc  *list.Document      // kept last, and its time
+	at   fleet.Time
+	logs []string
+}
+
+func newDark(up map[string]bool) *dark {
+	site := fleet.Site{Zones: []string{"a"}, Classes: []fleet.VisitClass{{Name: "look", Expected: fleet.Second, HardStop: 2 * fleet.Second, Value: 1}},
+		DrainGrace: 3 * fleet.Second, LinesPerS: 1e6, BacklogMost: 1e6, ReportsPerS: 500, ReportEvery: fleet.Second, Proxies: 2, BareMost: 5 * fleet.Second,
+		Travel: fleet.Millisecond, TravelMost: 10 * fleet.Millisecond, LoadFields: []fleet.LoadField{fleet.FieldBusy}, Report: fleet.ReportInline}
+	d := &dark{now: 1_000_000 * fleet.Second, up: up, held: [2]map[string]int16{{}, {}}}
+	d.core = NewCore(site, 1, []front.Proxy{{ID: 0, Name: "p0"}, {ID: 1, Name: "p1"}}, NewNames())
+	return d
+}
+
+func (d *dark) turn(inputs ...Input) Output {
+	out := d.core.Turn(d.now, inputs)
+	for _, l := range out.Logs {
+		d.logs = append(d.logs, l.Text)
+	}
+	if out.List != nil {
+		d.doc, d.at = out.List, out.ListAt
+	}
+	return out
+}
+
+// run turns until a time, and answers all that is asked.
+func (d *dark) run(until fleet.Time, each func()) {
+	var next []Input
+	for ; d.now < until; d.now += 50 * fleet.Millisecond {
+		if each != nil {
+			each()
+		}
+		out := d.turn(next...)
+		next = nil
+		for _, m := range out.Messages {
+			for _, c := range m.Changes {
+				name, _ := d.core.names.Of(c.Server)
+				if c.Kind == steer.SetLine || c.Kind == steer.AddLine {
+					if c.Weight >= 0 {
+						d.held[m.Proxy][name] = c.Weight
+					}
+					if c.State == steer.Out || c.State == steer.Drain {
+						d.held[m.Proxy][name] = 0
+					}
+				}
+			}
+			next = append(next, front.Answer{Proxy: m.Proxy, Stream: 1, Seq: m.Seq})
+		}
+		for _, id := range out.Proves {
+			name, _ := d.core.names.Of(id)
+			p := Proof{Server: id}
+			if d.up[name] {
+				p.Of = boot.Someone
+			}
+			next = append(next, p)
+		}
+	}
+}
+
+func (d *dark) join() {
+	d.turn(front.Up{Proxy: 0, Stream: 1, Held: steer.Snapshot{Weight: 5, Fresh: true}}, front.Up{Proxy: 1, Stream: 1, Held: steer.Snapshot{Weight: 5, Fresh: true}})
+}
+
+func (d *dark) logged(text string) bool {
+	return strings.Contains(strings.Join(d.logs, "\n"), text)
+}
+
+func docOf(rev uint64, names ...string) list.Document {
+	d := list.Document{Rev: rev}
+	for i, n := range names {
+		d.Servers = append(d.Servers, list.Server{Name: n, Addr: fmt.Sprint("x:", i), Zone: "a"})
+	}
+	return d
+}
+
+const aDay = 24 * 3600 * fleet.Second
+
+// TestOldListServes: from a list a day old tables stand within ten seconds, with the servers that answer and without the others; a
+// truncated list on the source's return is measured against those that are left, and held.
+func TestOldListServes(t *testing.T) {
+	d := newDark(map[string]bool{"s0": true, "s1": true, "s2": true, "s3": true})
+	u := list.Update{Scope: fleet.ListCached, Doc: docOf(4, "s0", "s1", "s2", "s3", "g0", "g1", "g2", "g3", "g4", "g5"), At: d.now - aDay}
+	d.turn(u)
+	d.join()
+	d.run(d.now+10*fleet.Second, nil)
+	for p, held := range d.held {
+		for name, up := range map[string]bool{"s0": true, "s1": true, "s2": true, "s3": true, "g0": false, "g5": false} {
+			if held[name] > 0 != up {
+				t.Errorf("proxy %d holds %s at %d", p, name, held[name])
+			}
+		}
+	}
+	d.turn(list.Update{Scope: fleet.ListFull, Doc: docOf(5, "s0", "s1", "s2")}) // over half of those that are left
+	if len(d.core.entries) != 3 || d.logged("asked for again") {
+		t.Errorf("%d are listed: %v", len(d.core.entries), d.logs)
+	}
+}
+
+// TestSourceFlaps: a source that comes and goes each second, with the same list, moves no weight and withdraws nobody; what is kept says
+// when it stood to its list last.
+func TestSourceFlaps(t *testing.T) {
+	d := newDark(map[string]bool{"s0": true, "s1": true, "s2": true})
+	doc := docOf(4, "s0", "s1", "s2")
+	d.turn(list.Update{Scope: fleet.ListCached, Doc: doc, At: d.now - 3600*fleet.Second})
+	d.join()
+	d.run(d.now+8*fleet.Second, nil)
+	before := fmt.Sprint(d.held)
+	for i := range 40 {
+		switch i % 4 {
+		case 0:
+			d.turn(list.Update{Scope: fleet.ListFull, Doc: doc})
+		case 2:
+			d.turn(list.Update{Scope: fleet.ListDelta, Doc: list.Document{Rev: 4, Changes: true}})
+		default:
+			d.turn(list.Update{Scope: fleet.ListFailed, Err: fmt.Errorf("list: away")})
+		}
+		d.run(d.now+fleet.Second, nil)
+	}
+	if is := fmt.Sprint(d.held); is != before || strings.Count(strings.Join(d.logs, "\n"), "list: away") > 20 {
+		t.Errorf("from %s to %s\n%v", before, is, d.logs)
+	}
+	if d.doc == nil || d.at < d.now-boot.ConfirmGap-4*fleet.Second {
+		t.Errorf("kept %.0f s before", (d.now - d.at).Seconds())
+	}
+	kept := d.at
+	d.run(d.now+2*boot.ConfirmGap, func() { d.core.list(d.now, list.Update{Same: true}, &Output{}) })
+	if d.at < kept+boot.ConfirmGap {
+		t.Error("a source that says that nothing has changed does not count")
+	}
+}
+
+// TestEmptyAndLateLists: an empty kept list takes nobody out, one that comes after the source's own is none.
+func TestEmptyAndLateLists(t *testing.T) {
+	d := newDark(nil)
+	d.turn(list.Update{Scope: fleet.ListCached, At: d.now})
+	if len(d.core.entries) != 0 || !d.logged("the kept list is empty") || d.core.rev != 0 {
+		t.Error(d.logs)
+	}
+	d.turn(list.Update{Scope: fleet.ListFull, Doc: docOf(4, "s0")})
+	d.turn(list.Update{Scope: fleet.ListCached, Doc: docOf(3, "s0", "s1"), At: d.now})
+	if len(d.core.entries) != 1 || d.core.rev != 4 {
+		t.Errorf("%d are listed, rev %d", len(d.core.entries), d.core.rev)
+	}
+}
--- a/governor/kept.go
+++ b/governor/kept.go
@@ -1,13 +1,18 @@
 package governor
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
+	"cressknot/boot"
 	"cressknot/fleet"
 	"cressknot/list"
 	"cressknot/steer"
@@ -56,8 +61,20 @@
 	keptList struct {
 		Generation uint64     `json:"generation"`
 		Rev        uint64     `json:"rev"`
-		At         fleet.Time `json:"at"`
+		At         fleet.Time `json:"at"` // when its source stood to it last
 		Entries    int        `json:"entries"`
+		Digest     string     `json:"digest,omitempty"` // of all entries
+	}
+	keptLearned struct {
+		At      fleet.Time   `json:"at"`
+		Started fleet.Time   `json:"started,omitempty"`
+		Busy    float64      `json:"busy"`
+		Zones   []keptInZone `json:"zones"`
+	}
+	keptInZone struct {
+		Zone    string     `json:"zone"`
+		Rate    float64    `json:"rate"`
+		Latency fleet.Time `json:"latency"`
 	}
 )
 
@@ -69,6 +86,7 @@
 	hands   map[string]keptHand
 	list    keptList
 	entries [2]map[string]list.Server // by generation's parity: what its records hold
+	learned map[string]bool           // servers of which something is
 }
 
 type keptTable struct {
@@ -80,7 +98,7 @@
 
 func newKeeper() keeper {
 	return keeper{tables: map[fleet.TableID]*keptTable{}, pins: map[fleet.TableID]steer.Pin{}, hands: map[string]keptHand{},
-		entries: [2]map[string]list.Server{{}, {}}}
+		entries: [2]map[string]list.Server{{}, {}}, learned: map[string]bool{}}
 }
 
 func tableKey(id fleet.TableID, parts ...string) string {
@@ -190,7 +208,10 @@
 	if !k.on {
 		return nil
 	}
-	gen := k.list.Generation + 1
+	gen, digest := k.list.Generation+1, digestOf(doc.Servers)
+	if k.list.Generation > 0 && digest == k.list.Digest { // the same list, confirmed: the one before it stays
+		gen = k.list.Generation
+	}
 	held := k.entries[gen%2]
 	slot := strconv.FormatUint(gen%2, 10)
 	there := map[string]bool{}
@@ -207,19 +228,70 @@
 			changes = append(changes, store.Change{Key: store.Join("list", slot, "entry", name)})
 		}
 	}
-	k.list = keptList{gen, doc.Rev, now, len(doc.Servers)}
+	k.list = keptList{gen, doc.Rev, now, len(doc.Servers), digest}
 	return append(changes, store.Change{Key: store.Join("list", slot, "head"), Value: k.list})
 }
 
+// digestOf gives a checksum of a whole list, whatever the order of its entries.
+func digestOf(servers []list.Server) string {
+	all := uint64(0)
+	for _, s := range servers {
+		text, _ := json.Marshal(s) // of strings and numbers
+		all += xxhash.Sum64(text)
+	}
+	return fmt.Sprintf("%016x", all)
+}
+
+// keepLearned keeps what servers were learned to carry, and nothing of those that are listed no more.
+func (c *Core) keepLearned(now fleet.Time) (changes []store.Change) {
+	if !c.keeper.on {
+		return nil
+	}
+	c.learner.Worth(now, func(id fleet.ServerID, f boot.Learned) {
+		name, _ := c.names.Of(id)
+		kept := keptLearned{At: f.At, Started: f.Started, Busy: f.Busy}
+		for _, z := range f.Zones {
+			kept.Zones = append(kept.Zones, keptInZone{c.site.Zones[z.Zone], z.Rate, z.Latency})
+		}
+		c.keeper.learned[name] = true
+		changes = append(changes, store.Change{Key: store.Join("learned", name), Value: kept})
+	})
+	if len(changes) == 0 {
+		return nil
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.keeper.learned)) { // along with others: nothing hangs on it
+		if _, listed := c.docs[name]; !listed {
+			delete(c.keeper.learned, name)
+			changes = append(changes, store.Change{Key: store.Join("learned", name)})
+		}
+	}
+	return changes
+}
+
+// wakeLearned makes ready to tell the module what servers were learned to carry, when a list names them.
+func (c *Core) wakeLearned(learned map[string]keptLearned) {
+	for _, name := range slices.Sorted(maps.Keys(learned)) {
+		k := learned[name]
+		c.keeper.learned[name] = true
+		f := boot.Learned{At: k.At, Started: k.Started, Busy: k.Busy}
+		for _, z := range k.Zones {
+			if zone, is := c.zones[z.Zone]; is {
+				f.Zones = append(f.Zones, boot.InZone{Zone: zone, Rate: z.Rate, Latency: z.Latency})
+			}
+		}
+		c.learned[c.names.Learn(name, "")] = f
+	}
+}
+
 // Woken is what a governor woke with.
 type Woken struct {
-	Epoch  keptEpoch
-	List   *list.Document // the newest whole one, nil for none
-	ListAt fleet.Time
-	Lost   []string // what was there and can't be believed
-	Tables int
-	Pins   int
-	Hands  int
+	Epoch   keptEpoch
+	Lists   []boot.Generation[list.Server] // as they were kept
+	Lost    []string                       // what was there and can't be believed
+	Tables  int
+	Pins    int
+	Hands   int
+	Learned int
 }
 
 // Wake takes over what was kept, before the first turn, and begins a new epoch after all before it, whatever the clock says.
@@ -227,7 +299,7 @@
 func (c *Core) Wake(now fleet.Time, s *store.Store) (w Woken, err error) {
 	wholes, deltas := map[fleet.TableID]keptWhole{}, map[fleet.TableID][]keptDelta{}
 	keys := map[fleet.TableID][]string{}
-	pins, hands := map[fleet.TableID]keptPin{}, map[string]keptHand{}
+	pins, hands, learned := map[fleet.TableID]keptPin{}, map[string]keptHand{}, map[string]keptLearned{}
 	var heads [2]keptList
 	var entries [2][]list.Server
 	damage, err := s.Read("", func(key string, payload []byte) error {
@@ -255,6 +327,10 @@
 			var one keptHand
 			read(&one)
 			hands[key] = one
+		case strings.HasPrefix(key, "learned/"):
+			var one keptLearned
+			read(&one)
+			learned[strings.TrimPrefix(key, "learned/")] = one
 		case scan(key, "list/%1d/%s", &slot, &rest) && slot < 2 && rest == "head":
 			read(&heads[slot])
 		case scan(key, "list/%1d/%s", &slot, &rest) && slot < 2:
@@ -279,6 +355,8 @@
 	w.Epoch = keptEpoch{c.epoch, now}
 	c.wakeTables(now, &w, wholes, deltas, keys, pins)
 	c.wakeHands(now, &w, hands)
+	c.wakeLearned(learned)
+	w.Learned = len(c.learned)
 	c.wakeList(&w, heads, entries)
 	return w, nil
 }
@@ -322,30 +400,23 @@
 	}
 }
 
-// wakeList takes the newer generation whose entries are all there; of a damaged newest one what is left of it, unless the one
-// before is whole: staff are told either way.
+// wakeList gives both generations with what is left of them, and goes on from the newer one.
 func (c *Core) wakeList(w *Woken, heads [2]keptList, entries [2][]list.Server) {
-	order := []int{0, 1}
-	if heads[1].Generation > heads[0].Generation {
-		slices.Reverse(order)
-	}
-	for slot := range entries {
+	for slot, h := range heads {
 		for _, s := range entries[slot] {
 			c.keeper.entries[slot][s.Name] = s
 		}
-	}
-	c.keeper.list = heads[order[0]]
-	for _, slot := range order {
-		h := heads[slot]
-		if h.Generation == 0 || len(entries[slot]) == 0 {
+		if h.Generation == 0 {
 			continue
 		}
-		if missing := h.Entries - len(entries[slot]); missing != 0 {
-			w.Lost = append(w.Lost, fmt.Sprintf("%d of %d entries of the list of rev %d", missing, h.Entries, h.Rev))
+		if h.Generation > c.keeper.list.Generation {
+			c.keeper.list = h
 		}
-		w.List, w.ListAt = &list.Document{Rev: h.Rev, Servers: entries[slot]}, h.At
-		return
+		g := boot.Generation[list.Server]{From: "store", At: h.At, Rev: h.Rev, Stated: h.Entries,
+			Whole: h.Digest == "" || h.Digest == digestOf(entries[slot]), Entries: maps.Clone(c.keeper.entries[slot])}
+		w.Lists = append(w.Lists, g)
 	}
+	slices.SortFunc(w.Lists, func(a, b boot.Generation[list.Server]) int { return cmp.Compare(b.At, a.At) })
 }
 
 func scan(key, form string, into ...any) bool {
--- a/governor/kept_test.go
+++ b/governor/kept_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/pebble/v2/vfs"
 
+	"cressknot/boot"
 	"cressknot/fleet"
 	"cressknot/list"
 	"cressknot/steer"
@@ -141,8 +142,8 @@
 	}
 }
 
-// TestListsOfTheStore: of two generations the newer one counts; a damaged entry costs itself, and is told; a list that is not
-// written whole does not count.
+// TestListsOfTheStore: of two generations the newer one counts; a damaged entry costs itself, is told, and those of the generation
+// before stand in for it as doubtful ones; a list that is not written whole does not count; one that is confirmed puts no other out.
 func TestListsOfTheStore(t *testing.T) {
 	mem := vfs.NewCrashableMem()
 	l := live(t, mem, fleet.Second)
@@ -154,25 +155,31 @@
 	doc.Rev, doc.Servers = 8, doc.Servers[:4]
 	changes := l.core.keepList(3*fleet.Second, &doc)
 	l.keep(t, changes[:len(changes)-1]) // all but the head
-	wakes := func(rev uint64, servers, lost int) *life {
+	wakes := func(rev uint64, servers, lost, doubtful int) *life {
 		t.Helper()
 		clone := mem.CrashClone(vfs.CrashCloneCfg{})
 		_ = l.store.Close()
 		mem = clone
 		n := live(t, mem, 10*fleet.Second)
-		if n.woken.List == nil || n.woken.List.Rev != rev || len(n.woken.List.Servers) != servers || len(n.woken.Lost) != lost {
-			t.Errorf("woke with %+v, lost %v", n.woken.List, n.woken.Lost)
+		got, ok := boot.Choose(10*fleet.Second, n.woken.Lists)
+		if !ok || got.Rev != rev || len(got.Entries) != servers || len(n.woken.Lost) != lost || len(got.Doubtful) != doubtful || (len(got.Says) > 0) != (doubtful > 0) {
+			t.Errorf("woke with %+v, lost %v", got, n.woken.Lost)
 		}
 		return n
 	}
-	l = wakes(7, 5, 0)
+	l = wakes(7, 5, 0, 0)
 	l.keep(t, l.core.keepList(12*fleet.Second, &doc))
-	l = wakes(8, 4, 0)
+	l = wakes(8, 4, 0, 0)
+	l.keep(t, l.core.keepList(13*fleet.Second, &doc)) // confirmed
+	if len(l.woken.Lists) != 2 {
+		t.Errorf("%d generations", len(l.woken.Lists))
+	}
+	l = wakes(8, 4, 0, 0)
 	l.keep(t, []store.Change{{Key: "list/0/entry/s2", Value: "no server"}})
-	l = wakes(8, 3, 2) // the entry, and that one is missing
+	l = wakes(8, 5, 1, 2) // the entry; s2 and s4 are in the generation before
 	doc.Rev = 9
-	l.keep(t, l.core.keepList(13*fleet.Second, &doc))
-	l = wakes(9, 4, 1)
+	l.keep(t, l.core.keepList(14*fleet.Second, &doc))
+	l = wakes(9, 4, 0, 0)
 	_ = l.store.Close()
 }
 
--- a/governor/loop.go
+++ b/governor/loop.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -16,6 +17,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/rs/zerolog"
 
+	"cressknot/boot"
 	"cressknot/fleet"
 	"cressknot/front"
 	"cressknot/intake"
@@ -43,6 +45,7 @@
 	wall   time.Time // at the start; the clock goes on by the monotonic one
 	cache  string
 	probe  string // path of probes
+	prove  string // how servers of a kept list are asked
 
 	mu     sync.Mutex
 	mail   []Input        // lists, joins, leaves, answers, probes: never shed, never folded
@@ -74,8 +77,9 @@
 	Front     front.Front
 	Source    list.Source
 	Log       zerolog.Logger
-	Cache     string         // file that keeps the last list; "" for none
-	Cached    *list.Document // the list at the start, if any
+	Cache     string       // file that keeps the last list; "" for none
+	Cached    *list.Update // a kept list to start from, if any
+	Prove     string       // how servers of it are asked: "connect", "probe", "answers" (not at all)
 	ProbePath string
 	Series    Series       // of reports, for operators; may be nil
 	Store     *store.Store // what must last; may be nil
@@ -96,8 +100,11 @@
 	if l.series = p.Series; l.series != nil {
 		l.core.intake.Keep(l.series.Add)
 	}
+	if l.prove = p.Prove; l.prove == "answers" {
+		l.core.AnswersOnly()
+	}
 	if p.Cached != nil {
-		l.post(list.Update{Scope: fleet.ListCached, Doc: *p.Cached})
+		l.post(*p.Cached)
 	}
 	return l
 }
@@ -245,6 +252,9 @@
 	for _, id := range out.Probes {
 		go l.ask(id)
 	}
+	for _, id := range out.Proves {
+		go l.proof(id)
+	}
 	if out.Watch != nil {
 		l.source.Watch(*out.Watch)
 	}
@@ -255,7 +265,7 @@
 		l.say(line)
 	}
 	if out.List != nil && l.cache != "" {
-		if err := list.Cache(l.cache, *out.List); err != nil {
+		if err := list.Cache(l.cache, *out.List, out.ListAt); err != nil {
 			l.log.Error().Err(err).Msg("the list was not kept; the governor goes on without")
 		}
 	}
@@ -339,6 +349,35 @@
 	l.post(p)
 }
 
+// proof asks a server of a kept list whether it is there: by a connection, or by a probe whose answer may say in X-Server who answers.
+func (l *Loop) proof(id fleet.ServerID) {
+	name, addr := l.names.Of(id)
+	ctx, cancel := context.WithTimeout(l.ctx, time.Duration(steer.DialWithin))
+	defer cancel()
+	p := Proof{Server: id}
+	if l.prove != "probe" {
+		var dialer net.Dialer
+		if conn, err := dialer.DialContext(ctx, "tcp", addr); err == nil {
+			conn.Close()
+			p.Of = boot.Someone
+		}
+	} else if req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+l.probe, nil); err == nil {
+		if res, err := http.DefaultClient.Do(req); err == nil {
+			_, _ = io.CopyN(io.Discard, res.Body, probeBody)
+			res.Body.Close()
+			switch says := res.Header.Get("X-Server"); {
+			case says == name:
+				p.Of = boot.Itself
+			case says != "":
+				p.Of = boot.Another
+			default:
+				p.Of = boot.Someone
+			}
+		}
+	}
+	l.post(p)
+}
+
 func readLoad(text string) (load []float32) {
 	for _, f := range strings.Split(text, ",") {
 		v, err := strconv.ParseUint(f, 10, 32)
--- a/governor/operators.go
+++ b/governor/operators.go
@@ -117,6 +117,7 @@
 		{[]string{"show", "tables"}, "lines of all tables, with the weight that proxies are sent", (*Operators).showTables, false},
 		{[]string{"show", "proxies"}, "proxies: stream, tables, what waits for them", (*Operators).showProxies, false},
 		{[]string{"show", "orders"}, "the latest orders, oldest first", (*Operators).showOrders, false},
+		{[]string{"show", "doubts"}, "servers of a kept list that the list's source has not confirmed yet", (*Operators).showDoubts, false},
 		{[]string{"show", "reports"}, "[stale]: servers as sources: what is made of their silence, age, load, trust", (*Operators).showReports, false},
 		{[]string{"show", "intake"}, "where reports went: sums, what was thinned, shed or not believed", (*Operators).showIntake, false},
 		{[]string{"show", "series"}, "<server> [minutes]: what proxies met there, a row a minute", (*Operators).showSeries, false},
--- /dev/null
+++ b/internal/drill/dark.go
@@ -0,0 +1,170 @@
+package drill
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"cressknot/fleet"
+	"cressknot/list"
+)
+
+const (
+	dayOld   = 24 * time.Hour
+	servedBy = 10 * time.Second // what a start without discovery may take
+)
+
+// dark kills all governors while the list's source is away, makes the lists that they kept a day old, with as many names of servers that
+// are gone (some at the addresses of others) and a damaged last entry, restarts all proxies with their standing tables, and starts the
+// governors. It measures how they fare, and what happens when the source returns.
+func (p *play) dark(ctx context.Context, t Trouble) {
+	r := &Dark{}
+	defer func() {
+		slices.Sort(r.Served)
+		slices.Sort(r.Live)
+		p.mu.Lock()
+		p.report.Dark = r
+		p.mu.Unlock()
+	}()
+	p.lister.Fail(true)
+	for _, g := range p.governors {
+		g.usage()
+		if err := g.end(syscall.SIGKILL); err != nil {
+			p.trouble("%v", err)
+		}
+		if err := p.age(filepath.Join(p.dir, g.name+".list")); err != nil {
+			p.trouble("%v", err)
+		}
+	}
+	for _, x := range p.proxies {
+		x.Down()
+	}
+	sleep(ctx, time.Second)
+	for _, x := range p.proxies {
+		if err := x.Up(); err != nil {
+			p.trouble("%v", err)
+		}
+	}
+	began := time.Now()
+	for _, g := range p.governors {
+		if err := g.start(p.Launch); err != nil {
+			p.trouble("%v", err)
+		}
+	}
+	key := p.Day.Classes[0].Name + ".version"
+	waits := slices.Clone(p.proxies)
+	var good, all int
+	measured := false
+	for time.Since(began) < time.Duration(t.For) && sleep(ctx, 5*lookEvery) {
+		for i := 0; i < len(waits); {
+			if waits[i].Level(key) == "" {
+				i++
+				continue
+			}
+			r.Served = append(r.Served, time.Since(began).Seconds())
+			waits = slices.Delete(waits, i, i+1)
+		}
+		if !measured && time.Since(began) >= servedBy {
+			measured = true
+			good, all = p.tally.sums()
+			for _, x := range p.proxies {
+				for name, share := range x.Weights(p.Day.Classes[0].Name) {
+					if share > 0 && strings.HasPrefix(x.Addr(p.Day.Classes[0].Name, name), "127.0.1.") {
+						r.Ghosts++
+					}
+				}
+			}
+		}
+	}
+	r.Unheld = len(waits)
+	if g, a := p.tally.sums(); a > all {
+		r.InTime = float64(g-good) / float64(a-all)
+	}
+	back := time.Now()
+	p.lister.Fail(false)
+	for _, g := range p.governors {
+		for sleep(ctx, lookEvery) {
+			text, err := ask(g.socket, "show log\n")
+			if err == nil && strings.Contains(text, "source is back") {
+				r.Live = append(r.Live, time.Since(back).Seconds())
+				break
+			}
+		}
+	}
+	p.moved(ctx, r)
+}
+
+// moved looks for ten seconds at how shares move.
+func (p *play) moved(ctx context.Context, r *Dark) {
+	var looks []map[string]float64
+	for range 100 {
+		all := map[string]float64{}
+		for _, x := range p.proxies {
+			for name, share := range x.Weights(p.Day.Classes[0].Name) {
+				all[name] += share / float64(len(p.proxies))
+			}
+		}
+		if looks = append(looks, all); len(looks) > 10 {
+			sum := 0.0
+			for name, share := range all {
+				gain := share - looks[len(looks)-11][name]
+				sum += max(0, gain)
+				r.MovedIn = max(r.MovedIn, gain*float64(len(p.nodes)))
+			}
+			r.Moved = max(r.Moved, sum)
+		}
+		if !sleep(ctx, 10*lookEvery) {
+			return
+		}
+	}
+}
+
+// age makes a kept list a day old.
+func (p *play) age(path string) error {
+	kept, wrong := list.ReadCache(path)
+	if len(kept) == 0 {
+		return fmt.Errorf("no list was kept at %s: %v", path, wrong)
+	}
+	doc := list.Document{Rev: kept[0].Rev}
+	i := 0
+	for _, s := range kept[0].Entries {
+		doc.Servers = append(doc.Servers, s)
+		ghost := s
+		if ghost.Name = "ghost-" + s.Name; i%4 > 0 { // the fourth ones' addresses are others' now
+			ghost.Addr = fmt.Sprintf("127.0.1.%d:1", i%250) // nobody listens there
+		}
+		if !s.Started.IsZero() {
+			ghost.Started = s.Started.Add(-time.Hour)
+		}
+		doc.Servers = append(doc.Servers, ghost)
+		i++
+	}
+	doc.Servers = append(doc.Servers, list.Server{Name: "zz-damaged", Addr: "127.0.1.251:1", Zone: doc.Servers[0].Zone})
+	slices.SortFunc(doc.Servers, func(a, b list.Server) int { return strings.Compare(a.Name, b.Name) })
+	if err := list.Cache(path, doc, fleet.Time(time.Now().Add(-dayOld).UnixNano())); err != nil {
+		return err
+	}
+	if err := os.Remove(path + ".before"); err != nil && !errors.Is(err, os.ErrNotExist) { // the true one
+		return err
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, text[:len(text)-10], 0o644)
+}
+
+func (t *tally) sums() (good, all int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range t.byClass {
+		good, all = good+c.inTime, all+c.visits
+	}
+	return good, all
+}
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"flag"
+	"math/rand/v2"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -170,10 +173,43 @@
 	}
 }
 
+// TestStartWithoutDiscovery starts two governors and all proxies anew without the list's source, from lists of a day before of which half
+// is gone and the end damaged: tables stand within ten seconds, without the servers that are gone, and the source's return moves little.
+func TestStartWithoutDiscovery(t *testing.T) {
+	r := playDay(t, "dark", func(o *Options) {
+		o.Day.Length = Span(34 * time.Second)
+		o.Day.Troubles = []Trouble{{At: Span(3 * time.Second), For: Span(14 * time.Second), What: "dark"}}
+	})
+	for _, v := range r.Rules {
+		if len(v.Breaks) > 0 {
+			t.Errorf("%s: %v", v.Rule, v.Breaks)
+		}
+	}
+	d := r.Dark
+	if len(r.Troubles) > 0 || d == nil || len(d.Served) != 6 || d.Served[5] > servedBy.Seconds() || d.Ghosts > 0 || d.InTime < 0.8 || len(d.Live) != 2 || d.Moved > 0.25 {
+		t.Errorf("%+v %v", d, r.Troubles)
+	}
+}
+
+// kills of a governor that TestKills plays: -kills 100 for the whole.
+var kills = flag.Int("kills", 10, "kills of a governor to play")
+
 // TestTenKills kills a governor outright ten times: the rules are kept, and it ends with the versions that its store led it to.
 func TestTenKills(t *testing.T) {
 	var dir string
-	r := playDay(t, "kills", func(o *Options) { dir = o.Keep })
+	r := playDay(t, "kills", func(o *Options) {
+		if dir = o.Keep; *kills != 10 {
+			rng := rand.New(rand.NewPCG(7, 7))
+			at := 2 * time.Second
+			o.Day.Troubles = slices.DeleteFunc(o.Day.Troubles, func(t Trouble) bool { return t.What == "governor-kill" })
+			for range *kills {
+				down := time.Duration(100+rng.IntN(600)) * time.Millisecond
+				o.Day.Troubles = append(o.Day.Troubles, Trouble{At: Span(at), For: Span(down), What: "governor-kill"})
+				at += down + time.Duration(300+rng.IntN(2500))*time.Millisecond
+			}
+			o.Day.Length = Span(at + 2*time.Second)
+		}
+	})
 	for _, v := range r.Rules {
 		if len(v.Breaks) > 0 {
 			t.Errorf("%s: %v", v.Rule, v.Breaks)
@@ -186,7 +222,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if n := strings.Count(string(log), `"message":"woke"`); n != 11 || strings.Contains(string(log), "damaged in the store") || !strings.Contains(string(log), `"list":true`) {
+	if n := strings.Count(string(log), `"message":"woke"`); n != *kills+1 || strings.Contains(string(log), "damaged in the store") || !strings.Contains(string(log), `"list":true`) {
 		t.Errorf("woke %d times, in\n%s", n, log)
 	}
 }
--- a/internal/drill/report.go
+++ b/internal/drill/report.go
@@ -29,7 +29,8 @@
 	Mutes                      []float64       `json:"mutes_s,omitempty"`   // from a reporter's end until a governor told it from a death
 	Unnoticed                  int             `json:"unnoticed,omitempty"` // those that it did not
 	Backs                      []float64       `json:"backs_s,omitempty"`   // from a way back until a proxy held it, sorted
-	Versions                   map[string]int  `json:"versions"`            // of the first class's tables that proxies ended on
+	Dark                       *Dark           `json:"dark,omitempty"`
+	Versions                   map[string]int  `json:"versions"` // of the first class's tables that proxies ended on
 	PushesTaken, PushesRefused int             // weights that staff set by hand
 	Troubles                   []string        `json:"troubles,omitempty"` // of the drill itself: such a run counts for nothing
 }
@@ -67,6 +68,17 @@
 	FromTold []float64 `json:"from_told_s"`
 }
 
+// Dark is how governors fared that started without the list's source, from lists of a day before.
+type Dark struct {
+	Served  []float64 `json:"served_s"`  // from a governor's start until each proxy held tables of it, sorted
+	Unheld  int       `json:"unheld"`    // proxies that did not while the source was away
+	InTime  float64   `json:"in_time"`   // part of the visits handled in time from ten seconds after the start until the source's return
+	Ghosts  int       `json:"ghosts"`    // lines of servers that are gone, in tables of proxies ten seconds after the start
+	Live    []float64 `json:"live_s"`    // from the source's return until a governor went by its list
+	Moved   float64   `json:"moved"`     // part of all visits that went elsewhere within a second, at most, in the ten seconds after that
+	MovedIn float64   `json:"moved_one"` // largest gain of one server within a second, in even shares
+}
+
 // Kept tells whether all rules were kept and the drill itself went well.
 func (r *Report) Kept() bool {
 	return len(r.Troubles) == 0 && !slices.ContainsFunc(r.Rules, func(v rules.Verdict) bool { return len(v.Breaks) > 0 })
@@ -207,6 +219,12 @@
 				g.Info["Tries_told"], g.Info["Tries_waiting"], g.Info["Tries_aged"], g.Info["Tries_unheard"], g.Info["Deadlines_missed"])
 		}
 	}
+	if d := r.Dark; d != nil && len(d.Served) > 0 && len(d.Live) > 0 {
+		fmt.Fprintf(out, "without the list's source: proxies held tables after %.1f s (p50), %.1f s (most), %d never; %.1f%% in time after 10 s; %d lines of ghosts then\n",
+			quantile(d.Served, 0.5), d.Served[len(d.Served)-1], d.Unheld, 100*d.InTime, d.Ghosts)
+		fmt.Fprintf(out, "its list counted %.2f s after its return; within a second at most %.1f%% of the visits moved, a server gained at most %.2f even shares\n",
+			d.Live[len(d.Live)-1], 100*d.Moved, d.MovedIn)
+	}
 	if n := len(r.Backs); n > 0 {
 		fmt.Fprintf(out, "from the command to go back until a proxy held that version: p50 %.3f s, p99 %.3f s, most %.3f s; %d proxies\n",
 			quantile(r.Backs, 0.5), quantile(r.Backs, 0.99), r.Backs[n-1], n)
--- a/internal/drill/troubles.go
+++ b/internal/drill/troubles.go
@@ -68,6 +68,7 @@
 	"bad-table":   (*play).badTable,
 	"flood":       (*play).flood,
 	"mute":        (*play).mute,
+	"dark":        (*play).dark,
 }
 
 func or(size, otherwise float64) float64 {
--- a/list/list.go
+++ b/list/list.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fsnotify/fsnotify"
 
 	"cressknot/fleet"
@@ -27,6 +28,7 @@
 const (
 	sizeMost    = 64 << 20 // bytes of a list: 100,000 servers take some 15 MB
 	serversMost = 200_000
+	lookAgain   = 20 * time.Second // at a file whose folder told of nothing: some file systems tell nothing at all
 )
 
 // Server is one entry, as files and the service write it.
@@ -53,6 +55,10 @@
 	Scope fleet.ListScope
 	Doc   Document
 	Err   error // of a ListFailed, or a note beside a list that was kept
+	Same  bool  // the source answered: what it told last still stands; nothing else is set
+
+	At       fleet.Time      // of a ListCached: when its source confirmed it last
+	Doubtful map[string]bool // of a ListCached: entries of a list before it
 }
 
 // Source is where lists come from. Watch and Fetch are as the module orders them; a source that follows by itself
@@ -79,64 +85,46 @@
 	}
 	seen := make(map[string]bool, len(d.Servers))
 	for i, s := range d.Servers {
-		switch {
-		case s.Name == "":
-			return Document{}, fmt.Errorf("list: servers[%d]: no name", i)
-		case seen[s.Name]:
+		if what := check(s); what != "" {
+			return Document{}, fmt.Errorf("list: servers[%d]: %s", i, what)
+		}
+		if seen[s.Name] {
 			return Document{}, fmt.Errorf("list: servers[%d]: %q stands twice", i, s.Name)
-		case s.State != "" && s.State != "ready" && s.State != "draining" && s.State != "gone":
-			return Document{}, fmt.Errorf("list: servers[%d]: state %q is none of ready, draining, gone", i, s.State)
-		case s.Addr == "" && s.State != "gone":
-			return Document{}, fmt.Errorf("list: servers[%d]: %q has no addr", i, s.Name)
 		}
 		seen[s.Name] = true
 	}
 	return d, nil
 }
 
-func readFile(path string) (Document, error) {
+// check tells what is wrong with an entry, "" for nothing.
+func check(s Server) string {
+	switch {
+	case s.Name == "":
+		return "no name"
+	case s.State != "" && s.State != "ready" && s.State != "draining" && s.State != "gone":
+		return fmt.Sprintf("state %q is none of ready, draining, gone", s.State)
+	case s.Addr == "" && s.State != "gone":
+		return fmt.Sprintf("%q has no addr", s.Name)
+	}
+	return ""
+}
+
+func readFile(path string) (d Document, text []byte, err error) {
 	f, err := os.Open(path)
 	if err != nil {
-		return Document{}, fmt.Errorf("list: %w", err)
+		return d, nil, fmt.Errorf("list: %w", err)
 	}
 	defer f.Close()
-	text, err := io.ReadAll(io.LimitReader(f, sizeMost+1))
-	if err != nil {
-		return Document{}, fmt.Errorf("list: %w", err)
+	if text, err = io.ReadAll(io.LimitReader(f, sizeMost+1)); err != nil {
+		return d, nil, fmt.Errorf("list: %w", err)
 	}
 	if len(text) > sizeMost {
-		return Document{}, fmt.Errorf("list: %s is over %d bytes", path, sizeMost)
+		return d, nil, fmt.Errorf("list: %s is over %d bytes", path, sizeMost)
 	}
-	d, err := Decode(text)
-	if err != nil {
-		return Document{}, fmt.Errorf("%s: %w", path, err)
+	if d, err = Decode(text); err != nil {
+		return d, nil, fmt.Errorf("%s: %w", path, err)
 	}
-	return d, nil
-}
-
-// ReadCache reads the list that Cache kept, for a start without the list's source.
-func ReadCache(path string) (Document, error) { return readFile(path) }
-
-// Cache keeps a whole list: written aside, synced and renamed, so that a cut leaves the older one.
-func Cache(path string, d Document) error {
-	text, err := json.Marshal(d)
-	if err != nil {
-		return fmt.Errorf("list cache: %w", err)
-	}
-	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".new-*")
-	if err != nil {
-		return fmt.Errorf("list cache: %w", err)
-	}
-	_, err = f.Write(text)
-	err = errors.Join(err, f.Sync(), f.Close())
-	if err == nil {
-		err = os.Rename(f.Name(), path)
-	}
-	if err != nil {
-		os.Remove(f.Name())
-		return fmt.Errorf("list cache: %w", err)
-	}
-	return nil
+	return d, text, nil
 }
 
 // File is a list in a file, read whenever its folder tells of a change.
@@ -146,6 +134,7 @@
 	mu        sync.Mutex
 	on        bool
 	sink      func(Update)
+	held      uint64 // checksum of what was told last, 0: nothing
 }
 
 // Start reads the file and follows it.
@@ -161,11 +150,15 @@
 	}
 	go func() {
 		defer w.Close()
+		look := time.NewTicker(lookAgain)
+		defer look.Stop()
 		f.read(false)
 		for {
 			select {
 			case <-ctx.Done():
 				return
+			case <-look.C:
+				f.look()
 			case e := <-w.Events:
 				if filepath.Base(e.Name) == filepath.Base(f.Path) && !e.Has(fsnotify.Remove) && !e.Has(fsnotify.Chmod) {
 					f.read(false)
@@ -184,7 +177,8 @@
 	if !f.on && !asked {
 		return
 	}
-	d, err := readFile(f.Path)
+	d, text, err := readFile(f.Path)
+	f.held = xxhash.Sum64(text)
 	switch {
 	case err == nil:
 		f.sink(Update{Scope: fleet.ListFull, Doc: d})
@@ -193,6 +187,21 @@
 	}
 }
 
+// look tells that the file is as it was, or what it has become.
+func (f *File) look() {
+	f.mu.Lock()
+	_, text, err := readFile(f.Path)
+	same := f.held == xxhash.Sum64(text)
+	f.mu.Unlock()
+	switch {
+	case err != nil: // told when it came to be so
+	case same:
+		f.sink(Update{Same: true})
+	default:
+		f.read(false)
+	}
+}
+
 // Watch follows the file from now on, or no more.
 func (f *File) Watch(on bool) {
 	f.mu.Lock()
@@ -303,10 +312,13 @@
 	if err != nil {
 		return err
 	}
-	if changed {
+	switch {
+	case changed:
 		h.told(d)
-	} else if first {
+	case first:
 		h.sink(Update{Scope: fleet.ListDelta, Doc: Document{Rev: rev, Changes: true}})
+	default:
+		h.sink(Update{Same: true})
 	}
 	return nil
 }
--- a/list/list_test.go
+++ b/list/list_test.go
@@ -53,7 +53,13 @@
 			}
 			return
 		}
-		if err := Cache(path, Document{Rev: rev, Servers: []Server{{Name: "a", Addr: "x:1"}}}); err != nil {
+		whole, err := json.Marshal(Document{Rev: rev, Servers: []Server{{Name: "a", Addr: "x:1"}}})
+		if err == nil {
+			if err = os.WriteFile(path+".new", whole, 0o644); err == nil {
+				err = os.Rename(path+".new", path)
+			}
+		}
+		if err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -6,14 +6,17 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"cressknot/boot"
 	"cressknot/config"
 	"cressknot/fleet"
 	"cressknot/front"
@@ -70,21 +73,21 @@
 	}
 	carrier := frontOf(s, site, proxies, names)
 	parts := governor.Parts{Core: core, Names: names, Front: carrier, Source: sourceOf(s), Log: log,
-		Cache: s.List.Cache, ProbePath: s.Reports.ProbePath}
+		Cache: s.List.Cache, ProbePath: s.Reports.ProbePath, Prove: s.List.Prove}
+	var lists []boot.Generation[list.Server]
 	if s.List.Cache != "" {
-		switch doc, err := list.ReadCache(s.List.Cache); {
-		case err == nil:
-			parts.Cached = &doc
-			log.Info().Int("servers", len(doc.Servers)).Uint64("rev", doc.Rev).Msg("starts from the list kept on disk")
-		case !errors.Is(err, os.ErrNotExist):
-			log.Warn().Err(err).Msg("the list kept on disk can't be used")
+		var wrong []error
+		lists, wrong = list.ReadCache(s.List.Cache)
+		for _, err := range wrong {
+			log.Warn().Err(err).Msg("damaged in the list kept on disk")
 		}
 	}
 	if s.Store.Folder != "" {
-		lasting, err := wake(s, core, log, &parts)
+		lasting, woken, err := wake(s, core, log)
 		if err != nil {
 			return err
 		}
+		lists = append(lists, woken...)
 		if lasting != nil {
 			parts.Store = lasting
 			defer func() {
@@ -94,6 +97,7 @@
 			}()
 		}
 	}
+	parts.Cached = startFrom(lists, log)
 	kept, err := series.Open(s.Reports.Series, func(id fleet.ServerID) string { name, _ := names.Of(id); return name })
 	if err != nil { // nothing that is decided needs them
 		log.Error().Err(err).Msg("time series of reports are not kept")
@@ -154,7 +158,7 @@
 // wake opens the store and lets the core wake with what was kept. A store that another process has, or that a newer program
 // wrote, stops the start: going on would make two governors of one, or lose what that one kept. Any other trouble costs
 // the store only.
-func wake(s *config.Settings, core *governor.Core, log zerolog.Logger, parts *governor.Parts) (*store.Store, error) {
+func wake(s *config.Settings, core *governor.Core, log zerolog.Logger) (*store.Store, []boot.Generation[list.Server], error) {
 	lasting, err := store.Open(store.Options{Folder: s.Store.Folder, Told: func(failing bool, err error) {
 		if failing {
 			log.Error().Err(err).Msg("what must last can't be kept; the governor goes on, and keeps it when that is possible again")
@@ -166,10 +170,10 @@
 	var busy *store.BusyError
 	switch {
 	case errors.As(err, &newer), errors.As(err, &busy):
-		return nil, err
+		return nil, nil, err
 	case err != nil:
 		log.Error().Err(err).Msg("starts without what was kept, and keeps nothing")
-		return nil, nil
+		return nil, nil, nil
 	}
 	woken, err := core.Wake(fleet.Time(time.Now().UnixNano()), lasting)
 	if err != nil {
@@ -178,16 +182,29 @@
 	for _, lost := range woken.Lost {
 		log.Warn().Str("lost", lost).Msg("damaged in the store")
 	}
-	log.Info().Int("tables", woken.Tables).Int("pins", woken.Pins).Int("weights", woken.Hands).Bool("list", woken.List != nil).Msg("woke")
-	if parts.Cached == nil && woken.List != nil {
-		parts.Cached = woken.List
-		log.Info().Int("servers", len(woken.List.Servers)).Uint64("rev", woken.List.Rev).Time("of", time.Unix(0, int64(woken.ListAt))).Msg("starts from the list in the store")
-	}
+	log.Info().Int("tables", woken.Tables).Int("pins", woken.Pins).Int("weights", woken.Hands).Int("learned", woken.Learned).Bool("list", len(woken.Lists) > 0).Msg("woke")
 	done := make(chan error, 1) // no version of this epoch leaves before the epoch is on disk
 	if err := lasting.Put([]store.Change{{Key: "epoch", Value: woken.Epoch}}, func(err error) { done <- err }); err == nil {
 		err = <-done
 	}
-	return lasting, nil
+	return lasting, woken.Lists, nil
+}
+
+// startFrom makes one list of those that were kept, nil for none.
+func startFrom(kept []boot.Generation[list.Server], log zerolog.Logger) *list.Update {
+	chosen, ok := boot.Choose(fleet.Time(time.Now().UnixNano()), kept)
+	for _, s := range chosen.Says {
+		log.Warn().Str("from", "list").Msg(s)
+	}
+	if !ok {
+		return nil
+	}
+	u := &list.Update{Scope: fleet.ListCached, Doc: list.Document{Rev: chosen.Rev}, At: chosen.At, Doubtful: chosen.Doubtful}
+	for _, name := range slices.Sorted(maps.Keys(chosen.Entries)) {
+		u.Doc.Servers = append(u.Doc.Servers, chosen.Entries[name])
+	}
+	log.Info().Int("servers", len(u.Doc.Servers)).Uint64("rev", chosen.Rev).Str("kept", chosen.From).Time("confirmed", time.Unix(0, int64(chosen.At))).Msg("has a list from before")
+	return u
 }
 
 // reload takes over what may change and refuses a file that asks for more, whole.
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -176,7 +176,8 @@
 	started   fleet.Time
 	gone      fleet.Time // since when, 0: not
 	withdrawn bool
-	ordered   bool // a withdrawal or its end was ordered
+	ordered   bool    // a withdrawal or its end was ordered
+	less      float64 // what is taken off its weights in all tables, 0 to 1
 }
 
 type table struct {
--- a/steer/versions.go
+++ b/steer/versions.go
@@ -37,7 +37,39 @@
 		}
 		return 0
 	}
-	return Round(t.weights[i], t.scale)
+	return Round(t.weights[i]*(1-p.servers[i].less), t.scale)
+}
+
+// Part is what a server gets of its weights, 0 to 1.
+type Part struct {
+	Server fleet.ServerID
+	Of     float64
+}
+
+// Parts lets servers have a part of their weights in all tables: what the module orders stays, and counts whole again at 1.
+func (p *Plane) Parts(now fleet.Time, parts []Part, why string) {
+	changed := map[int32]bool{}
+	for _, one := range parts {
+		i := p.server(one.Server)
+		changed[i] = p.servers[i].less != 1-one.Of
+		p.servers[i].less = 1 - one.Of
+	}
+	for _, id := range p.tableIDs() {
+		t := p.tables[id]
+		p.note(now, id, t, why)
+		p.users(id, func(x *proxy) {
+			n := 0
+			for _, one := range parts {
+				if i := p.index[one.Server]; changed[i] && t.weights[i] > 0 && p.differs(x, i) {
+					p.touch(x, key{server: i}, false)
+					n++
+				}
+			}
+			if n > 0 {
+				p.send(now, x, n, nil)
+			}
+		})
+	}
 }
 
 // note makes the next version of a table of what is published now.
