--- a/boot/doubts.go
+++ b/boot/doubts.go
@@ -316,11 +316,6 @@
 		}
 		d.lastGood, d.failed, d.seen = now, 0, false
 	}
-	for _, one := range d.order {
-		if d.seen && one.sight != Refuted && one.sight != Told && one.fails >= refuseAfter { // asked in vain before anybody was reached
-			d.refute(now, one, "nobody answers at its address")
-		}
-	}
 	d.spare()
 	d.ask(now, &p)
 	untried, most := d.untried(), 0.0
--- a/boot/doubts_test.go
+++ b/boot/doubts_test.go
@@ -228,6 +228,117 @@
 	}
 }
 
+// TestParts: what servers get by what is known of them. Ten servers of a list of a day before; so many have handled visits, so many take
+// connections, the rest is untried.
+func TestParts(t *testing.T) {
+	for _, c := range []struct {
+		proven, reached, doubtful int
+		age                       fleet.Time
+		want                      [3]float64 // of proven, reached, untried ones
+	}{
+		{0, 0, 0, day, [3]float64{0, 0, 1}},             // nothing is known of any: all alike
+		{9, 0, 0, day, [3]float64{1, 0, 0.05}},          // worth what its age leaves
+		{9, 0, 0, 3600 * s, [3]float64{1, 0, 0.506}},    // the same, of an hour
+		{5, 0, 0, 3600 * s, [3]float64{1, 0, 1.0 / 3}},  // all unproven ones have a quarter of the visits
+		{2, 0, 0, day, [3]float64{1, 0, 3.0 / 8}},       // two would be crowded
+		{5, 4, 0, day, [3]float64{1, 0.5, 0.05}},        // half for an address that answers
+		{5, 4, 0, 600 * s, [3]float64{1, 0.901, 0.901}}, // more where the list is young
+		{9, 0, 1, 2400 * s, [3]float64{1, 0, 0.05}},     // of the list before that: worth least at any age
+		{9, 0, 0, 30 * s, [3]float64{1, 0, 1}},          // as good as told now
+	} {
+		d := NewDoubts(fleet.Site{}, true)
+		var names []Name
+		for i := range 10 {
+			names = append(names, Name{Entry: fleet.Entry{Server: fleet.ServerID(i)}, Addr: string(rune('a' + i)), Doubtful: i >= 10-c.doubtful})
+		}
+		d.Begin(0, c.age, names)
+		d.Next(patience) // all are asked
+		for i := range c.proven {
+			d.Asked(patience, fleet.ServerID(i), Itself)
+		}
+		for i := range c.reached {
+			d.Asked(patience, fleet.ServerID(c.proven+i), Someone)
+		}
+		for at := patience; at < 20*s; at += s {
+			d.Next(at)
+		}
+		views := d.Views()
+		for k, i := range []int{0, c.proven, 9} {
+			if c.want[k] > 0 && math.Abs(views[i].Part-c.want[k]) > 0.12*c.want[k] {
+				t.Errorf("%+v: server %d gets %.3f of its weight, want %.3f", c, i, views[i].Part, c.want[k])
+			}
+		}
+	}
+}
+
+// TestAsks: so many are asked at once and no more; one that stays away is asked less and less often, and told once; one that handles
+// visits is not put out by asks that come to nothing, and one whose visits fail is asked, and stays if it is there.
+func TestAsks(t *testing.T) {
+	y := newYard(fleet.Site{}, day, true, make([]bool, 300)...)
+	y.up[0] = true
+	if y.now += patience; len(y.d.Next(y.now).Ask) != asksAtOnce {
+		t.Errorf("%d are asked at once", y.most)
+	}
+	y = newYard(fleet.Site{}, day, true, true, false, true)
+	asked := 0
+	for range 1200 {
+		p := y.step(t, true)
+		for _, id := range p.Ask {
+			if id == 1 {
+				asked++
+			}
+		}
+		y.visits()
+	}
+	if asked < 5 || asked > 12 || strings.Count(y.says, "nobody answers") != 1 {
+		t.Errorf("asked %d times in two minutes: %s", asked, y.says)
+	}
+	for i := range 1600 { // comes and goes
+		y.up[1] = i/400%2 == 0
+		y.step(t, true)
+		y.visits()
+	}
+	if strings.Count(y.says, "nobody answers") != 1 || !y.out[1] {
+		t.Errorf("out %v: %s", y.out[1], y.says)
+	}
+	d := NewDoubts(fleet.Site{}, true)
+	d.Begin(0, day, []Name{{Entry: fleet.Entry{Server: 0}, Addr: "a"}, {Entry: fleet.Entry{Server: 1}, Addr: "b"}})
+	d.Next(patience)
+	d.Asked(patience, 1, Itself)
+	d.Met(patience, 0, 5, 0) // while it is asked
+	for at := patience; at < 4*s; at += s / 10 {
+		d.Asked(at, 0, Nobody)
+		if p := d.Next(at); len(p.Out)+len(p.Ask) > 0 {
+			t.Fatalf("one that handles visits: %+v", p)
+		}
+	}
+	asks := 0
+	for at := 4 * s; at < 8*s; at += s / 10 {
+		d.Met(at, 0, 0, 2)
+		d.Met(at, 1, 2, 0)
+		p := d.Next(at)
+		if asks += len(p.Ask); len(p.Ask) > 0 {
+			d.Asked(at, 0, Someone)
+		}
+		if len(p.Out) > 0 || d.Views()[0].Sight != Proven {
+			t.Fatalf("one that is there, with a trouble: %+v %+v", p, d.Views())
+		}
+	}
+	if asks < 2 || asks > 12 {
+		t.Errorf("asked %d times while its visits fail", asks)
+	}
+	for at := 8 * s; at < 12*s; at += s / 10 {
+		d.Met(at, 0, 0, 2)
+		d.Met(at, 1, 2, 0)
+		if p := d.Next(at); len(p.Ask) > 0 {
+			d.Asked(at, 0, Nobody)
+		}
+	}
+	if v := d.Views()[0]; v.Sight != Refuted || !v.Out {
+		t.Errorf("one that handled visits and is gone: %+v", v)
+	}
+}
+
 // TestRandomDoubts: whatever is reached, met and told when, somebody stays in, at most so many are asked at once, parts rise by steps
 // only, a plan never repeats itself, and a list of the source ends all doubts.
 func TestRandomDoubts(t *testing.T) {
--- a/governor/core.go
+++ b/governor/core.go
@@ -85,13 +85,10 @@
 	keeper    keeper
 	gate      *boot.Gate
 	doubts    *boot.Doubts
-	learner   *boot.Learner
-	learned   map[fleet.ServerID]boot.Learned // by an earlier life, not told to the module yet
-	recalled  []fleet.Event                   // of it, for the step that comes
-	live      bool                            // the list's source was heard
-	confirmed fleet.Time                      // when it stood to its list last
-	listKept  fleet.Time                      // what was kept of that
-	heldList  list.Update                     // by the gate
+	live      bool        // the list's source was heard
+	confirmed fleet.Time  // when it stood to its list last
+	listKept  fleet.Time  // what was kept of that
+	heldList  list.Update // by the gate
 	entries   map[fleet.ServerID]fleet.Entry
 	docs      map[string]list.Server // the whole list as told, for the cache
 	rev       uint64
@@ -115,7 +112,7 @@
 		proxies: map[fleet.ProxyID]front.Proxy{}, module: logic.New(site, seed), plane: steer.New(site),
 		intake: intake.New(site), streams: map[fleet.ProxyID]uint64{}, unreached: map[fleet.ProxyID]string{}, started: -1,
 		guard: guard.New(site), keeper: newKeeper(), gate: boot.NewGate(site.DrainGrace),
-		doubts: boot.NewDoubts(site, true), learner: boot.NewLearner(site), learned: map[fleet.ServerID]boot.Learned{}, broken: map[string]bool{}, forces: map[string]force{}, entries: map[fleet.ServerID]fleet.Entry{}, docs: map[string]list.Server{}}
+		doubts: boot.NewDoubts(site, true), broken: map[string]bool{}, forces: map[string]force{}, entries: map[fleet.ServerID]fleet.Entry{}, docs: map[string]list.Server{}}
 	for i, z := range site.Zones {
 		c.zones[z] = fleet.ZoneID(i)
 	}
@@ -191,7 +188,6 @@
 	for _, e := range told {
 		if e, ok := e.(fleet.Heard); ok {
 			c.doubts.Met(now, e.Server, float64(e.Tries)-float64(e.Failed), float64(e.Failed))
-			c.learner.Heard(now, e)
 		}
 	}
 	c.due(now)
@@ -201,8 +197,6 @@
 				c.guard.Hear(now, e)
 			}
 		}
-		c.events = append(c.events, c.recalled...) // for the module alone: the guard goes by what is heard now
-		c.recalled = c.recalled[:0]
 		orders := c.module.Step(now, c.events)
 		c.steps++
 		out.Stepped, out.Events, out.Orders = true, c.events, orders
@@ -249,7 +243,6 @@
 		out.Keep = c.keepList(out.ListAt, out.List)
 	}
 	out.Keep = append(out.Keep, c.keep()...)
-	out.Keep = append(out.Keep, c.keepLearned(now)...)
 	return out
 }
 
@@ -461,15 +454,6 @@
 		out.List = c.document()
 	}
 	c.tell(now, l)
-	for _, e := range l.Entries {
-		c.learner.Listed(e)
-		if f, was := c.learned[e.Server]; was {
-			delete(c.learned, e.Server)
-			for _, h := range boot.Recall(now, c.site, e, f) {
-				c.recalled = append(c.recalled, h)
-			}
-		}
-	}
 }
 
 // tell tells all that go by it of a list.
--- a/governor/dark_test.go
+++ b/governor/dark_test.go
@@ -1,9 +1,13 @@
 package governor
 
 import (
+	"context"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"cressknot/boot"
 	"cressknot/fleet"
@@ -163,3 +167,23 @@
 		t.Errorf("%d are listed, rev %d", len(d.core.entries), d.core.rev)
 	}
 }
+
+// TestProofs asks servers on loopback: one that says its name, one that says another's, one that says none, and nobody.
+func TestProofs(t *testing.T) {
+	names := NewNames()
+	l := &Loop{names: names, ctx: context.Background(), probe: "/probe", notify: make(chan struct{}, 1), wall: time.Now()}
+	for says, want := range map[string][2]boot.Proof{"a": {boot.Someone, boot.Itself}, "b": {boot.Someone, boot.Another}, "": {boot.Someone, boot.Someone}, "nobody": {}} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Server", says) }))
+		names.Listed("a", strings.TrimPrefix(s.URL, "http://"))
+		if says == "nobody" {
+			s.Close()
+		}
+		for i, prove := range []string{"connect", "probe"} {
+			l.prove, l.mail = prove, nil
+			if l.proof(0); l.mail[0] != (Proof{0, want[i]}) {
+				t.Errorf("%q by %s: %+v", says, prove, l.mail)
+			}
+		}
+		s.Close()
+	}
+}
--- a/governor/kept.go
+++ b/governor/kept.go
@@ -8,7 +8,6 @@
 	"maps"
 	"slices"
 	"strconv"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -65,17 +64,6 @@
 		Entries    int        `json:"entries"`
 		Digest     string     `json:"digest,omitempty"` // of all entries
 	}
-	keptLearned struct {
-		At      fleet.Time   `json:"at"`
-		Started fleet.Time   `json:"started,omitempty"`
-		Busy    float64      `json:"busy"`
-		Zones   []keptInZone `json:"zones"`
-	}
-	keptInZone struct {
-		Zone    string     `json:"zone"`
-		Rate    float64    `json:"rate"`
-		Latency fleet.Time `json:"latency"`
-	}
 )
 
 // keeper knows what of the core is kept, so that only what changed is kept again.
@@ -86,7 +74,6 @@
 	hands   map[string]keptHand
 	list    keptList
 	entries [2]map[string]list.Server // by generation's parity: what its records hold
-	learned map[string]bool           // servers of which something is
 }
 
 type keptTable struct {
@@ -98,7 +85,7 @@
 
 func newKeeper() keeper {
 	return keeper{tables: map[fleet.TableID]*keptTable{}, pins: map[fleet.TableID]steer.Pin{}, hands: map[string]keptHand{},
-		entries: [2]map[string]list.Server{{}, {}}, learned: map[string]bool{}}
+		entries: [2]map[string]list.Server{{}, {}}}
 }
 
 func tableKey(id fleet.TableID, parts ...string) string {
@@ -242,56 +229,14 @@
 	return fmt.Sprintf("%016x", all)
 }
 
-// keepLearned keeps what servers were learned to carry, and nothing of those that are listed no more.
-func (c *Core) keepLearned(now fleet.Time) (changes []store.Change) {
-	if !c.keeper.on {
-		return nil
-	}
-	c.learner.Worth(now, func(id fleet.ServerID, f boot.Learned) {
-		name, _ := c.names.Of(id)
-		kept := keptLearned{At: f.At, Started: f.Started, Busy: f.Busy}
-		for _, z := range f.Zones {
-			kept.Zones = append(kept.Zones, keptInZone{c.site.Zones[z.Zone], z.Rate, z.Latency})
-		}
-		c.keeper.learned[name] = true
-		changes = append(changes, store.Change{Key: store.Join("learned", name), Value: kept})
-	})
-	if len(changes) == 0 {
-		return nil
-	}
-	for _, name := range slices.Sorted(maps.Keys(c.keeper.learned)) { // along with others: nothing hangs on it
-		if _, listed := c.docs[name]; !listed {
-			delete(c.keeper.learned, name)
-			changes = append(changes, store.Change{Key: store.Join("learned", name)})
-		}
-	}
-	return changes
-}
-
-// wakeLearned makes ready to tell the module what servers were learned to carry, when a list names them.
-func (c *Core) wakeLearned(learned map[string]keptLearned) {
-	for _, name := range slices.Sorted(maps.Keys(learned)) {
-		k := learned[name]
-		c.keeper.learned[name] = true
-		f := boot.Learned{At: k.At, Started: k.Started, Busy: k.Busy}
-		for _, z := range k.Zones {
-			if zone, is := c.zones[z.Zone]; is {
-				f.Zones = append(f.Zones, boot.InZone{Zone: zone, Rate: z.Rate, Latency: z.Latency})
-			}
-		}
-		c.learned[c.names.Learn(name, "")] = f
-	}
-}
-
 // Woken is what a governor woke with.
 type Woken struct {
-	Epoch   keptEpoch
-	Lists   []boot.Generation[list.Server] // as they were kept
-	Lost    []string                       // what was there and can't be believed
-	Tables  int
-	Pins    int
-	Hands   int
-	Learned int
+	Epoch  keptEpoch
+	Lists  []boot.Generation[list.Server] // as they were kept
+	Lost   []string                       // what was there and can't be believed
+	Tables int
+	Pins   int
+	Hands  int
 }
 
 // Wake takes over what was kept, before the first turn, and begins a new epoch after all before it, whatever the clock says.
@@ -299,7 +244,7 @@
 func (c *Core) Wake(now fleet.Time, s *store.Store) (w Woken, err error) {
 	wholes, deltas := map[fleet.TableID]keptWhole{}, map[fleet.TableID][]keptDelta{}
 	keys := map[fleet.TableID][]string{}
-	pins, hands, learned := map[fleet.TableID]keptPin{}, map[string]keptHand{}, map[string]keptLearned{}
+	pins, hands := map[fleet.TableID]keptPin{}, map[string]keptHand{}
 	var heads [2]keptList
 	var entries [2][]list.Server
 	damage, err := s.Read("", func(key string, payload []byte) error {
@@ -327,10 +272,6 @@
 			var one keptHand
 			read(&one)
 			hands[key] = one
-		case strings.HasPrefix(key, "learned/"):
-			var one keptLearned
-			read(&one)
-			learned[strings.TrimPrefix(key, "learned/")] = one
 		case scan(key, "list/%1d/%s", &slot, &rest) && slot < 2 && rest == "head":
 			read(&heads[slot])
 		case scan(key, "list/%1d/%s", &slot, &rest) && slot < 2:
@@ -355,8 +296,6 @@
 	w.Epoch = keptEpoch{c.epoch, now}
 	c.wakeTables(now, &w, wholes, deltas, keys, pins)
 	c.wakeHands(now, &w, hands)
-	c.wakeLearned(learned)
-	w.Learned = len(c.learned)
 	c.wakeList(&w, heads, entries)
 	return w, nil
 }
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -228,6 +228,7 @@
 		n.smooth()
 		n.loadHeader(w)
 		n.mu.Unlock()
+		w.Header().Set("X-Server", n.Name)
 		return
 	}
 	class, proxy := r.Header.Get("X-Class"), r.Header.Get("X-Proxy")
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -182,7 +182,7 @@
 	for _, lost := range woken.Lost {
 		log.Warn().Str("lost", lost).Msg("damaged in the store")
 	}
-	log.Info().Int("tables", woken.Tables).Int("pins", woken.Pins).Int("weights", woken.Hands).Int("learned", woken.Learned).Bool("list", len(woken.Lists) > 0).Msg("woke")
+	log.Info().Int("tables", woken.Tables).Int("pins", woken.Pins).Int("weights", woken.Hands).Bool("list", len(woken.Lists) > 0).Msg("woke")
 	done := make(chan error, 1) // no version of this epoch leaves before the epoch is on disk
 	if err := lasting.Put([]store.Change{{Key: "epoch", Value: woken.Epoch}}, func(err error) { done <- err }); err == nil {
 		err = <-done
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -9,11 +9,13 @@
 	"math/rand/v2"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
 	"github.com/cockroachdb/pebble/v2"
 	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/cockroachdb/pebble/v2/vfs/errorfs"
 )
 
 func mustOpen(t testing.TB, fs vfs.FS) *Store {
@@ -119,6 +121,75 @@
 	}
 }
 
+// points calls what it is told before each operation that writes.
+type points struct{ at func() }
+
+func (p points) MaybeError(op errorfs.Op) error {
+	if op.Kind.ReadOrWrite() == errorfs.OpIsWrite {
+		p.at()
+	}
+	return nil
+}
+
+func (p points) String() string { return "points" }
+
+// TestPowerFailsAtEachWrite cuts the power before each single operation on the disk of a run with flushes and compactions, unsynced
+// blocks lost all, in part or not at all: what was said to be kept is there, and whole.
+func TestPowerFailsAtEachWrite(t *testing.T) {
+	changes, states := script(5, 24)
+	mem := vfs.NewCrashableMem()
+	type point struct {
+		fs          *vfs.MemFS
+		kept, later int // before and after the cut: writes of the library go on beside those of the test
+	}
+	var mu sync.Mutex
+	var cuts []point
+	var kept atomic.Int64
+	s := mustOpen(t, errorfs.Wrap(mem, points{func() {
+		mu.Lock()
+		defer mu.Unlock()
+		n := int(kept.Load())
+		for _, percent := range []int{0, 50, 100} {
+			left := mem.CrashClone(vfs.CrashCloneCfg{UnsyncedDataPercent: percent, RNG: rand.New(rand.NewPCG(uint64(len(cuts)), 4))})
+			cuts = append(cuts, point{left, n, int(kept.Load())})
+		}
+	}}))
+	for i, c := range changes {
+		put(t, s, c...)
+		if kept.Store(int64(i + 1)); i%6 == 5 {
+			if err := s.Compact(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	began, inside := 0, 0
+	for i, c := range cuts {
+		s, err := Open(Options{Folder: "store", FS: c.fs})
+		if err != nil {
+			if c.kept == 0 { // the folder itself was being made
+				began++
+				continue
+			}
+			t.Fatalf("cut %d after %d commits: %v", i, c.kept, err)
+		}
+		got, damage, err := content(s)
+		if at := among(got, states[:min(c.later+2, len(states))], c.kept); err != nil || len(damage) > 0 || at < 0 {
+			t.Fatalf("cut %d: %v after %d commits (%v, %v)", i, got, c.kept, damage, err)
+		}
+		if err := s.Close(); err != nil {
+			t.Fatal(err)
+		}
+		inside++
+	}
+	t.Logf("%d cuts, %d while the folder was made", inside, began)
+	if inside < 300 {
+		t.Errorf("only %d cuts", inside)
+	}
+}
+
 func files(t testing.TB, fs vfs.FS) (logs, tables []string) {
 	names, err := fs.List("store")
 	if err != nil {
