Serve programs over gRPC and the text protocol, with a client library for each

Tablets and call-centre screens would each read the governor in their own way.

service/ has one core of questions and answers. The programs of a zone are to the governor one proxy: messages become versions of a view, watchers get what changed (encoded once for all), what they report becomes that proxy's counters; module, guard and channel are the same as for proxies.

--- /dev/null
+++ b/client/rpc/rpc.go
@@ -0,0 +1,123 @@
+// Package rpc connects the client library to governors over gRPC.
+package rpc
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"cressknot/client"
+	"cressknot/service"
+	"cressknot/service/rpc"
+	"cressknot/service/rpc/pb"
+	"cressknot/tables"
+)
+
+const (
+	answerMost = 16 << 20 // bytes of an answer: 20,000 servers in 16 classes
+	pingAfter  = 5 * time.Second
+	pingWithin = 3 * time.Second
+)
+
+// New makes a client whose governors are asked over gRPC at host:port.
+func New(cfg client.Config) (*client.Client, error) { return client.New(cfg, Transport{}) }
+
+// Transport connects over gRPC.
+type Transport struct {
+	Options []grpc.DialOption // beside ours: credentials, say
+}
+
+var _ client.Transport = Transport{}
+
+type conn struct {
+	grpc   *grpc.ClientConn
+	to     pb.GovernorClient
+	caller string
+}
+
+// Dial makes ready to ask; the connection itself is made by the first question.
+func (t Transport) Dial(_ context.Context, addr, caller string) (client.Conn, error) {
+	options := append([]grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(answerMost)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingWithin}), grpc.WithNoProxy()}, t.Options...)
+	c, err := grpc.NewClient("passthrough:///"+addr, options...)
+	if err != nil {
+		return nil, &service.Fault{Code: service.Unreachable, Text: err.Error()}
+	}
+	return &conn{c, pb.NewGovernorClient(c), caller}, nil
+}
+
+func (c *conn) Close() error { return c.grpc.Close() }
+
+// got gives an answer or its fault.
+func got[P, T any](p P, err error, of func(P) T) (v T, fault error) {
+	if f := rpc.FaultOf(err); f != nil {
+		return v, f
+	}
+	return of(p), nil
+}
+
+func (c *conn) Greet(ctx context.Context, h service.Hello) (service.Hello, error) {
+	p, err := c.to.Greet(ctx, rpc.HelloTo(h))
+	return got(p, err, rpc.HelloOf)
+}
+
+func (c *conn) Table(ctx context.Context, zone string) (service.Update, error) {
+	p, err := c.to.Table(ctx, &pb.TableRequest{Zone: zone, Caller: c.caller})
+	return got(p, err, rpc.UpdateOf)
+}
+
+func (c *conn) Report(ctx context.Context, r *service.Report) (uint64, error) {
+	q := rpc.ReportTo(r)
+	q.Caller = c.caller
+	p, err := c.to.Report(ctx, q)
+	return got(p, err, (*pb.ReportReply).GetSeq)
+}
+
+func (c *conn) Server(ctx context.Context, name string) (service.ServerState, error) {
+	p, err := c.to.Server(ctx, &pb.ServerRequest{Caller: c.caller, Name: name})
+	return got(p, err, rpc.ServerOf)
+}
+
+func (c *conn) History(ctx context.Context, zone, class string, most int) (service.History, error) {
+	p, err := c.to.History(ctx, &pb.HistoryRequest{Caller: c.caller, Zone: zone, Class: class, Most: uint32(max(0, most))})
+	return got(p, err, rpc.HistoryOf)
+}
+
+func (c *conn) Summary(ctx context.Context) (service.Summary, error) {
+	p, err := c.to.Summary(ctx, &pb.SummaryRequest{Caller: c.caller})
+	return got(p, err, rpc.SummaryOf)
+}
+
+func (c *conn) Watch(ctx context.Context, zone string, holds tables.Version, take func(*service.Update) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := c.to.Watch(ctx)
+	if err != nil {
+		return rpc.FaultOf(err)
+	}
+	if err := stream.Send(&pb.WatchRequest{Zone: zone, Caller: c.caller, Holds: rpc.VersionTo(holds)}); err != nil && !errors.Is(err, io.EOF) {
+		return rpc.FaultOf(err)
+	}
+	for {
+		p, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return &service.Fault{Code: service.Closing, Text: "the governor ended the watch"}
+		}
+		if err != nil {
+			return rpc.FaultOf(err)
+		}
+		u := rpc.UpdateOf(p)
+		if err := take(&u); err != nil {
+			return err
+		}
+		if err := stream.Send(&pb.WatchRequest{Holds: rpc.VersionTo(u.To)}); err != nil && !errors.Is(err, io.EOF) { // what broke it comes by Recv
+			return rpc.FaultOf(err)
+		}
+	}
+}
--- a/config/config.go
+++ b/config/config.go
@@ -125,6 +125,11 @@
 		Whole      float64 `json:"whole"`
 		WorstClass float64 `json:"worstClass"`
 	} `json:"goal"`
+	Service struct {
+		RPC    string  `json:"rpc"`
+		Text   string  `json:"text"`
+		Visits float64 `json:"visits"`
+	} `json:"service"`
 	Store struct {
 		Folder string `json:"folder"`
 	} `json:"store"`
@@ -373,6 +378,12 @@
 	if s.Reports.Load == "pushed" && s.Reports.Listen == "" {
 		bad("reports.listen", "is needed where load figures are pushed")
 	}
+	if s.Serves() && s.Front.Admission == "rate" {
+		bad("front.admission", "is a rate at each proxy; the programs that the service serves are many in place of one: use \"share\" or \"all\"")
+	}
+	if s.Serves() && len(s.Proxies)+len(s.Zones) > 65000 {
+		bad("proxies", "has %d proxies beside the zones that the service serves, 65000 are the most", len(s.Proxies))
+	}
 	if s.Me >= s.Governors {
 		bad("me", "is %d of %d governors, counted from 0", s.Me, s.Governors)
 	}
@@ -398,7 +409,7 @@
 		Me: s.Me, Governors: s.Governors, Zone: s.ZoneID(s.Zone), Zones: s.Zones, Kinds: s.Kinds,
 		Tick: fleet.Millisecond, ListOnRequest: s.List.OnRequest, ListWeight: weights[s.List.Weight],
 		Report: reportWays[s.Reports.Load], Probes: s.Reports.Probes,
-		Admission: admissions[s.Front.Admission], Proxies: max(s.Front.Proxies, len(s.Proxies)),
+		Admission: admissions[s.Front.Admission], Proxies: max(s.Front.Proxies, len(s.Proxies)) + len(s.Callers()),
 		JoinByZone: s.Front.JoinByZone, Standing: s.Front.Standing, PerTry: s.Front.PerTry,
 		RetryDefault: fleet.Retry(s.Front.RetryDefault), OutlierAfter: s.Front.OutlierAfter, ConnLeast: s.Front.ConnLeast,
 		ReportEvery: t(s.Reports.Every), ReportsPerS: s.Reports.LinesPerS,
@@ -435,6 +446,20 @@
 	return all
 }
 
+// Serves tells whether programs may ask this governor.
+func (s *Settings) Serves() bool { return s.Service.RPC != "" || s.Service.Text != "" }
+
+// Callers gives what stands for the programs of each zone, one proxy a zone, where the service serves any.
+func (s *Settings) Callers() (all []front.Proxy) {
+	if !s.Serves() {
+		return nil
+	}
+	for i, z := range s.Zones {
+		all = append(all, front.Proxy{ID: fleet.ProxyID(len(s.Proxies) + i), Name: "callers." + z, Zone: fleet.ZoneID(i), Visits: s.Service.Visits, Addr: "-"})
+	}
+	return all
+}
+
 // Backends gives how the classes are called at proxies.
 func (s *Settings) Backends() []front.Class {
 	var all []front.Class
@@ -456,7 +481,7 @@
 		{"zones", a.Zones, b.Zones}, {"zone", a.Zone, b.Zone}, {"kinds", a.Kinds, b.Kinds}, {"classes", a.Classes, b.Classes},
 		{"proxies", a.Proxies, b.Proxies}, {"list", a.List, b.List}, {"front", a.Front, b.Front},
 		{"channel", a.Channel, b.Channel}, {"reports", a.Reports, b.Reports}, {"servers", a.Servers, b.Servers},
-		{"goal", a.Goal, b.Goal}, {"guard", a.Guard, b.Guard}, {"faults", a.Faults, b.Faults}, {"operators", a.Operators, b.Operators}, {"store", a.Store, b.Store}} {
+		{"goal", a.Goal, b.Goal}, {"guard", a.Guard, b.Guard}, {"faults", a.Faults, b.Faults}, {"operators", a.Operators, b.Operators}, {"store", a.Store, b.Store}, {"service", a.Service, b.Service}} {
 		if fmt.Sprint(f.a) != fmt.Sprint(f.b) {
 			fields = append(fields, f.name)
 		}
--- a/config/schema.cue
+++ b/config/schema.cue
@@ -107,6 +107,12 @@
 		file:   string | *""                    // "": standard error
 	}
 
+	service: {
+		rpc:    string | *""                    // host:port where programs ask over gRPC, "" for none
+		text:   string | *""                    // the same over the text protocol: host:port, or a Unix socket of mode 0600
+		visits: number & >=0 | *10              // a second that programs of a zone send themselves, as usual
+	}
+
 	store: folder: string | *"" // what must last over this governor's death; "": nothing does
 
 	guard: bool | *true // every message is judged before it leaves; false only to see in a drill what it keeps away
--- a/governor/core.go
+++ b/governor/core.go
@@ -17,6 +17,7 @@
 	"cressknot/intake"
 	"cressknot/list"
 	"cressknot/logic"
+	"cressknot/service"
 	"cressknot/steer"
 	"cressknot/store"
 )
@@ -46,6 +47,7 @@
 	ListAt   fleet.Time
 	Keep     []store.Change // what has to last
 	Logs     []Line
+	Facts    *service.Facts   // what callers of the service are told beside tables, where it has changed
 	Distrust []fleet.ServerID // sources that are not believed from now on
 	Wake     fleet.Time       // next turn at the latest
 	// What the module heard and ordered, for records; good until the next turn.
@@ -92,8 +94,10 @@
 	entries   map[fleet.ServerID]fleet.Entry
 	docs      map[string]list.Server // the whole list as told, for the cache
 	rev       uint64
-	listed    fleet.Time // last list
-	listErr   string     // what ails its source, as told last
+	listed    fleet.Time     // last list
+	callers   []service.Zone // zones whose programs ask the service
+	factsDue  bool
+	listErr   string // what ails its source, as told last
 	logs      []Line
 	orders    []Line
 	steps     uint64
@@ -137,6 +141,16 @@
 // AnswersOnly lets only what proxies meet tell of servers of a kept list: they aren't asked themselves.
 func (c *Core) AnswersOnly() { c.doubts = boot.NewDoubts(c.site, false) }
 
+// Epoch tells the epoch of versions; 0 before it has begun.
+func (c *Core) Epoch() uint64 { return c.epoch }
+
+// Serve tells which zones have programs that ask the service, and their epoch where none was begun by what was kept.
+func (c *Core) Serve(zones []service.Zone, epoch uint64) {
+	if c.callers = zones; c.epoch == 0 {
+		c.begin(epoch)
+	}
+}
+
 // Break breaks the governor on purpose, for drills: "cold-unbound" takes the bound off cold servers' lines.
 func (c *Core) Break(fault string) { c.broken[fault] = true }
 
@@ -221,6 +235,7 @@
 		c.log(&out, Line{now, "warn", "channel", fmt.Sprintf("proxy %s: %s", c.proxies[a.Proxy].Name, a.Text)})
 	}
 	c.notices(now, &out)
+	c.facts(&out)
 	asks, next := c.intake.Polls(now)
 	out.Polls = asks
 	out.Wake = now + idleMost
@@ -458,6 +473,7 @@
 
 // tell tells all that go by it of a list.
 func (c *Core) tell(now fleet.Time, l fleet.List) {
+	c.factsDue = true
 	c.sources(l)
 	c.guard.Hear(now, l) // before the plane asks it what the list makes of lines that stand
 	c.plane.List(now, l)
@@ -527,6 +543,8 @@
 		case fleet.Probe:
 			out.Probes = append(out.Probes, o.Server)
 			continue
+		case fleet.Withdraw:
+			c.factsDue = true
 		case fleet.Mark:
 			continue
 		}
--- a/governor/loop.go
+++ b/governor/loop.go
@@ -24,6 +24,7 @@
 	"cressknot/intake/series"
 	"cressknot/list"
 	"cressknot/records"
+	"cressknot/service"
 	"cressknot/steer"
 	"cressknot/store"
 )
@@ -42,6 +43,8 @@
 	front  front.Front
 	source list.Source
 	log    zerolog.Logger
+	name   string
+	facts  func(service.Facts)
 	wall   time.Time // at the start; the clock goes on by the monotonic one
 	cache  string
 	probe  string // path of probes
@@ -81,8 +84,10 @@
 	Cached    *list.Update // a kept list to start from, if any
 	Prove     string       // how servers of it are asked: "connect", "probe", "answers" (not at all)
 	ProbePath string
-	Series    Series       // of reports, for operators; may be nil
-	Store     *store.Store // what must last; may be nil
+	Series    Series              // of reports, for operators; may be nil
+	Store     *store.Store        // what must last; may be nil
+	Name      string              // of the governor
+	Facts     func(service.Facts) // hears what callers of the service are told; may be nil
 }
 
 // Series keeps what proxies met over time.
@@ -96,7 +101,7 @@
 	l := &Loop{core: p.Core, names: p.Names, front: p.Front, source: p.Source, log: p.Log, wall: time.Now(),
 		cache: p.Cache, probe: p.ProbePath, place: map[fleet.ProxyID]int{}, box: &intake.Box{}, notify: make(chan struct{}, 1),
 		asks: make(chan func(*Core)), took: hdrhistogram.New(1000, tookMost, 3)}
-	l.store = p.Store
+	l.store, l.name, l.facts = p.Store, p.Name, p.Facts
 	if l.series = p.Series; l.series != nil {
 		l.core.intake.Keep(l.series.Add)
 	}
@@ -269,6 +274,9 @@
 			l.log.Error().Err(err).Msg("the list was not kept; the governor goes on without")
 		}
 	}
+	if out.Facts != nil && l.facts != nil {
+		l.facts(*out.Facts)
+	}
 	if out.Stepped {
 		l.record(now, out)
 	}
--- a/governor/operators.go
+++ b/governor/operators.go
@@ -3,15 +3,12 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -44,12 +41,7 @@
 		network, o.path = "unix", addr
 	}
 	o.engine = nbio.NewEngine(nbio.Config{Name: "operators", Network: network, Addrs: []string{addr}, NPoller: 1,
-		Listen: func(network, addr string) (net.Listener, error) {
-			if network != "unix" {
-				return net.Listen(network, addr)
-			}
-			return listenUnix(addr)
-		}})
+		Listen: runtimeapi.Listen})
 	o.engine.OnOpen(func(c *nbio.Conn) {
 		o.sessions.Store(c, &runtimeapi.Session{Answer: o.answer})
 		_ = c.SetReadDeadline(time.Now().Add(idleClose))
@@ -75,24 +67,6 @@
 	return o, nil
 }
 
-// listenUnix takes the place of a socket that nobody listens on any more, as a killed governor leaves one.
-func listenUnix(path string) (net.Listener, error) {
-	old := syscall.Umask(0o177)
-	defer syscall.Umask(old)
-	l, err := net.Listen("unix", path)
-	if !errors.Is(err, syscall.EADDRINUSE) {
-		return l, err
-	}
-	if c, dialed := net.DialTimeout("unix", path, time.Second); dialed == nil {
-		c.Close()
-		return nil, err
-	}
-	if err := os.Remove(path); err != nil {
-		return nil, err
-	}
-	return net.Listen("unix", path)
-}
-
 // Close ends it.
 func (o *Operators) Close() {
 	o.engine.Stop()
@@ -315,14 +289,11 @@
 	}
 	tries, failed := c.intake.Heard(id)
 	fmt.Fprintf(&b, "Reports that wait to be heard: %d tries, %d without a good answer.\n", tries, failed)
-	reasons := 0
-	for _, l := range c.logs {
-		if words := strings.FieldsFunc(l.Text, func(r rune) bool { return r == ' ' || r == ':' || r == ',' }); slices.Contains(words, name) {
-			reasons++
-			fmt.Fprintf(&b, "%s %s: %s\n", stamp(l.At), l.From, l.Text)
-		}
+	reasons := c.reasons(name)
+	for _, l := range reasons {
+		fmt.Fprintf(&b, "%s %s: %s\n", stamp(l.At), l.From, l.Text)
 	}
-	if reasons == 0 {
+	if len(reasons) == 0 {
 		b.WriteString("No line of the log names it.\n")
 	}
 	return b.String()
--- a/intake/silence.go
+++ b/intake/silence.go
@@ -290,6 +290,9 @@
 	Skew          fleet.Time
 }
 
+// SightOf tells what is made of a server as a source.
+func (k *Intake) SightOf(id fleet.ServerID) Sight { return k.standing(id).sight }
+
 // Views gives all listed servers, by id.
 func (k *Intake) Views(now fleet.Time) []View {
 	var all []View
--- a/runtimeapi/request.go
+++ b/runtimeapi/request.go
@@ -1,7 +1,7 @@
 // Package runtimeapi is the text protocol of a proxy's runtime socket, in the manner of HAProxy's, as the
 // management guide of that program publishes it ("9.3. Unix Socket commands"): request lines with commands
 // separated by ";", words separated by spaces, backslashes that keep a space or a semicolon, a payload
-// after "<<", answers that end with an empty line, and the tables that such answers hold. It does no I/O:
+// after "<<", answers that end with an empty line, and the tables that such answers hold. But for Listen it does no I/O:
 // bytes come in by Feed in whatever pieces they arrive, bytes go out by the Append functions.
 package runtimeapi
 
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -27,6 +27,9 @@
 	"cressknot/intake/series"
 	"cressknot/list"
 	"cressknot/records"
+	"cressknot/service"
+	"cressknot/service/rpc"
+	"cressknot/service/text"
 	"cressknot/store"
 )
 
@@ -58,7 +61,8 @@
 	names := governor.NewNames()
 	proxies := s.Fleet()
 	site := s.Site()
-	core := governor.NewCore(site, s.Seed, proxies, names)
+	callers := s.Callers()
+	core := governor.NewCore(site, s.Seed, append(slices.Clone(proxies), callers...), names)
 	if s.Guard {
 		core.Guarded()
 	} else {
@@ -82,6 +86,7 @@
 			log.Warn().Err(err).Msg("damaged in the list kept on disk")
 		}
 	}
+	parts.Name = s.Name
 	if s.Store.Folder != "" {
 		lasting, woken, err := wake(s, core, log)
 		if err != nil {
@@ -109,7 +114,15 @@
 			}
 		}()
 	}
+	asked := serving(s, core, callers, &parts)
 	loop := governor.NewLoop(parts)
+	if asked != nil {
+		stop, err := listen(s, loop, asked, log)
+		if err != nil {
+			return err
+		}
+		defer stop()
+	}
 	if s.Reports.Listen != "" {
 		taker, err := push.Listen(s.Reports.Listen, loop, push.Words{Loads: s.Reports.Fields, Lookup: names.ServerBytes})
 		if err != nil {
@@ -190,6 +203,60 @@
 	return lasting, woken.Lists, nil
 }
 
+// serving lets the programs of zones be proxies of the governor, nil where nobody may ask it.
+func serving(s *config.Settings, core *governor.Core, callers []front.Proxy, parts *governor.Parts) *service.Hub {
+	if len(callers) == 0 {
+		return nil
+	}
+	began := time.Now()
+	o := service.HubOptions{Governor: s.Name, Names: parts.Names, Classes: s.Site().Classes,
+		Now: func() fleet.Time { return fleet.Time(began.UnixNano()) + fleet.Time(time.Since(began)) }}
+	for _, p := range callers {
+		o.Zones = append(o.Zones, service.Zone{Name: s.Zones[p.Zone], ID: p.Zone, Proxy: p.ID, Visits: p.Visits})
+	}
+	core.Serve(o.Zones, uint64(began.UnixNano()))
+	o.Epoch = core.Epoch()
+	hub := service.NewHub(o)
+	mux := &front.Mux{Most: parts.Front, Of: map[fleet.ProxyID]front.Front{}}
+	for _, p := range callers {
+		mux.Of[p.ID] = hub
+	}
+	parts.Front, parts.Facts = mux, hub.Facts
+	return hub
+}
+
+// listen opens the service's sockets.
+func listen(s *config.Settings, loop *governor.Loop, hub *service.Hub, log zerolog.Logger) (stop func(), err error) {
+	core := service.New(hub, governor.Desk{Loop: loop, Program: Version})
+	var closers []interface{ Close(context.Context) error }
+	stop = func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.Operators.Stop))
+		defer cancel()
+		_ = hub.Stop(ctx) // watches end first: their callers go elsewhere
+		for _, c := range closers {
+			_ = c.Close(ctx)
+		}
+	}
+	if s.Service.RPC != "" {
+		over, err := rpc.Listen(s.Service.RPC, core)
+		if err != nil {
+			return nil, err
+		}
+		closers = append(closers, over)
+		log.Info().Str("addr", over.Addr()).Msg("answers programs over gRPC")
+	}
+	if s.Service.Text != "" {
+		over, err := text.Listen(s.Service.Text, core)
+		if err != nil {
+			stop()
+			return nil, err
+		}
+		closers = append(closers, over)
+		log.Info().Str("addr", over.Addr()).Msg("answers programs over the text protocol")
+	}
+	return stop, nil
+}
+
 // startFrom makes one list of those that were kept, nil for none.
 func startFrom(kept []boot.Generation[list.Server], log zerolog.Logger) *list.Update {
 	chosen, ok := boot.Choose(fleet.Time(time.Now().UnixNano()), kept)
--- /dev/null
+++ b/service/text/words.go
@@ -0,0 +1,377 @@
+// Package text puts the service's questions and answers on the text protocol of package runtimeapi: request lines of words, answers that end
+// with an empty line. An answer's first line tells what it is, "# KIND key=value ..."; rows follow, "row key=value ...". Readers leave out
+// kinds of rows and keys that they don't know. It decides nothing.
+package text
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"cressknot/fleet"
+	"cressknot/runtimeapi"
+	"cressknot/service"
+	"cressknot/tables"
+)
+
+// out builds an answer.
+type out struct{ b []byte }
+
+func (o *out) row(words ...string) *out {
+	if len(o.b) > 0 {
+		o.b = append(o.b, '\n')
+	}
+	o.b = append(o.b, strings.Join(words, " ")...)
+	return o
+}
+
+func (o *out) text(key, value string) *out {
+	o.b = append(append(append(o.b, ' '), key...), '=')
+	at := len(o.b)
+	o.b = runtimeapi.AppendWord(o.b, value)
+	for i := at; i < len(o.b); i++ { // a line holds none
+		if o.b[i] < ' ' || o.b[i] == 0x7f {
+			o.b[i] = '?'
+		}
+	}
+	return o
+}
+
+func (o *out) num(key string, value uint64) *out {
+	o.b = append(append(append(o.b, ' '), key...), '=')
+	o.b = strconv.AppendUint(o.b, value, 10)
+	return o
+}
+
+func (o *out) flag(key string, value bool) *out {
+	if value {
+		o.num(key, 1)
+	}
+	return o
+}
+
+func (o *out) bytes() []byte { return append(o.b, '\n') }
+
+func versionText(v tables.Version) string {
+	if v == tables.None {
+		return "-"
+	}
+	return v.String()
+}
+
+// PrintUpdate prints an update.
+func PrintUpdate(u *service.Update) []byte {
+	o := (&out{make([]byte, 0, 256)}).row("#", "update").num("minor", uint64(u.Minor)).text("governor", u.Governor).num("list_rev", u.ListRev).flag("live", u.Live).
+		text("zone", u.Zone).text("from", versionText(u.From)).text("to", versionText(u.To)).flag("shut", u.Shut).flag("beat", u.Beat)
+	for _, c := range u.Classes {
+		o.row("class").text("name", c.Class).flag("laid", c.Laid).text("amount", strconv.Itoa(c.Amount)).num("retry", uint64(c.Retry)).text("digest", c.Digest.String())
+		for _, l := range c.Lines {
+			o.row("line").text("server", l.Server).text("addr", l.Addr).num("weight", uint64(l.Weight))
+		}
+	}
+	for _, s := range u.Open {
+		o.row("open").text("server", s)
+	}
+	return o.bytes()
+}
+
+// PrintFault prints a fault.
+func PrintFault(f *service.Fault) []byte {
+	return new(out).row("#", "fault").text("code", string(f.Code)).num("retry_ns", uint64(f.RetryAfter)).text("text", f.Text).bytes()
+}
+
+// PrintHello prints a greeting.
+func PrintHello(h service.Hello) []byte {
+	o := new(out).row("#", "hello").num("major", uint64(h.Major)).num("minor", uint64(h.Minor)).text("name", h.Name).num("epoch", h.Epoch)
+	for _, z := range h.Zones {
+		o.row("zone").text("name", z)
+	}
+	for _, c := range h.Classes {
+		o.row("class").text("name", c.Name).num("effect", uint64(c.Effect)).num("group", uint64(c.Group)).num("window_ns", uint64(c.Window)).
+			num("expected_ns", uint64(c.Expected)).num("hard_stop_ns", uint64(c.HardStop))
+	}
+	return o.bytes()
+}
+
+// PrintCounted prints the answer to a batch.
+func PrintCounted(seq uint64) []byte { return new(out).row("#", "counted").num("seq", seq).bytes() }
+
+// PrintReport prints a batch as rows of a payload.
+func PrintReport(r *service.Report) []byte {
+	o := new(out)
+	for _, m := range r.Met {
+		o.row("met").text("server", m.Server).num("tries", m.Tries).num("failed", m.Failed).num("good", m.Good).num("good_ms", m.GoodMs)
+		if len(m.Load) > 0 {
+			o.text("load", strings.Trim(strings.Join(strings.Fields(fmt.Sprint(m.Load)), ","), "[]"))
+		}
+	}
+	for _, c := range r.Came {
+		o.row("came").text("class", c.Class).num("visits", c.Visits).num("no_answer", c.NoAnswer)
+	}
+	return o.bytes()
+}
+
+// PrintServer prints what is known of a server.
+func PrintServer(s service.ServerState) []byte {
+	o := new(out).row("#", "server").num("minor", uint64(s.Minor)).text("name", s.Name).text("addr", s.Addr).text("zone", s.Zone).text("state", s.State).
+		num("cold_ns", uint64(s.ColdFor)).flag("withdrawn", s.Withdrawn).text("sight", s.Sight)
+	for _, w := range s.Weights {
+		o.row("weight").text("zone", w.Zone).text("class", w.Class).num("weight", uint64(w.Weight))
+	}
+	for _, y := range s.Why {
+		o.row("why").text("text", y)
+	}
+	return o.bytes()
+}
+
+// PrintHistory prints versions.
+func PrintHistory(h service.History) []byte {
+	o := new(out).row("#", "history").num("minor", uint64(h.Minor))
+	for _, v := range h.Versions {
+		o.row("version").text("version", versionText(v.Version)).text("digest", v.Digest.String()).text("at_ns", strconv.FormatInt(int64(v.At), 10)).
+			num("lines", uint64(v.Lines)).text("why", v.Why)
+	}
+	return o.bytes()
+}
+
+// PrintSummary prints a summary.
+func PrintSummary(m service.Summary) []byte {
+	return new(out).row("#", "summary").num("minor", uint64(m.Minor)).text("governor", m.Governor).text("program", m.Program).num("epoch", m.Epoch).
+		num("list_rev", m.ListRev).num("list_age_ns", uint64(m.ListAge)).flag("live", m.Live).num("servers", uint64(m.Servers)).num("ready", uint64(m.Ready)).
+		num("cold", uint64(m.Cold)).num("withdrawn", uint64(m.Withdrawn)).num("proxies_up", uint64(m.ProxiesUp)).num("proxies_all", uint64(m.ProxiesAll)).
+		num("watchers", uint64(m.Watchers)).bytes()
+}
+
+// row is one line taken apart. Reading a value that isn't there gives zero; one that makes no sense is kept as the first error.
+type row struct {
+	kind   string
+	values map[string]string
+	line   int
+	err    *error
+}
+
+func (r row) text(key string) string { return r.values[key] }
+
+func (r row) num(key string, bits int) uint64 {
+	v, is := r.values[key]
+	if !is {
+		return 0
+	}
+	n, err := strconv.ParseUint(v, 10, bits)
+	if err != nil {
+		r.bad(key)
+	}
+	return n
+}
+
+func (r row) int(key string) int64 {
+	v, is := r.values[key]
+	if !is {
+		return 0
+	}
+	n, err := strconv.ParseInt(v, 10, 64)
+	if err != nil {
+		r.bad(key)
+	}
+	return n
+}
+
+func (r row) version(key string) (v tables.Version) {
+	text, is := r.values[key]
+	if !is || text == "-" {
+		return tables.None
+	}
+	v, err := tables.ParseVersion(text)
+	if err != nil {
+		r.bad(key)
+	}
+	return v
+}
+
+func (r row) digest(key string) tables.Digest {
+	n, err := strconv.ParseUint(r.values[key], 16, 64)
+	if err != nil {
+		r.bad(key)
+	}
+	return tables.Digest(n)
+}
+
+func (r row) bad(key string) {
+	if *r.err == nil {
+		*r.err = fmt.Errorf("line %d: %s=%.40q makes no sense", r.line, key, r.values[key])
+	}
+}
+
+// read takes an answer or a payload apart, a row at a time. Errors name the line.
+func read(text []byte, each func(row)) (err error) {
+	n := 0
+	for line := range bytes.Lines(text) {
+		n++
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			continue
+		}
+		commands, split := runtimeapi.Split(line, 0)
+		if split != nil {
+			return fmt.Errorf("line %d: %w", n, split)
+		}
+		if len(commands) != 1 {
+			return fmt.Errorf("line %d: no row", n)
+		}
+		words := commands[0].Words
+		r := row{kind: words[0], values: make(map[string]string, len(words)), line: n, err: &err}
+		words = words[1:]
+		if r.kind == "#" && len(words) > 0 {
+			r.kind, words = "# "+words[0], words[1:]
+		}
+		for _, w := range words {
+			if k, v, is := strings.Cut(w, "="); is {
+				r.values[k] = v
+			}
+		}
+		if each(r); err != nil {
+			return err
+		}
+	}
+	return err
+}
+
+// answer reads an answer of a kind; a fault comes as such, anything else as malformed.
+func answer(text []byte, kind string, each func(row)) error {
+	first := true
+	var fault *service.Fault
+	err := read(text, func(r row) {
+		switch {
+		case first && r.kind == "# fault":
+			fault = &service.Fault{Code: service.Code(r.text("code")), Text: r.text("text"), RetryAfter: fleet.Time(r.num("retry_ns", 63))}
+		case first && r.kind != "# "+kind:
+			*r.err = fmt.Errorf("line 1: %.40q where an answer of kind %q was to come", r.kind, kind)
+		case fault == nil:
+			each(r)
+		}
+		first = false
+	})
+	if err == nil && first {
+		err = errors.New("line 1: an empty answer")
+	}
+	if err != nil {
+		return &service.Fault{Code: service.Malformed, Text: err.Error()}
+	}
+	if fault != nil {
+		return fault
+	}
+	return nil
+}
+
+// ReadUpdate reads an update.
+func ReadUpdate(text []byte) (u service.Update, err error) {
+	err = answer(text, "update", func(r row) {
+		switch r.kind {
+		case "# update":
+			u = service.Update{Minor: uint32(r.num("minor", 32)), Governor: r.text("governor"), ListRev: r.num("list_rev", 64), Live: r.num("live", 1) == 1, Zone: r.text("zone"),
+				From: r.version("from"), To: r.version("to"), Shut: r.num("shut", 1) == 1, Beat: r.num("beat", 1) == 1}
+		case "class":
+			u.Classes = append(u.Classes, service.ClassTable{Class: r.text("name"), Laid: r.num("laid", 1) == 1, Amount: int(r.int("amount")), Retry: fleet.Retry(r.num("retry", 8)), Digest: r.digest("digest")})
+		case "line":
+			if n := len(u.Classes); n > 0 {
+				c := &u.Classes[n-1]
+				c.Lines = append(c.Lines, service.Line{Server: r.text("server"), Addr: r.text("addr"), Weight: int(r.num("weight", 16))})
+			} else {
+				*r.err = fmt.Errorf("line %d: a line of no class", r.line)
+			}
+		case "open":
+			u.Open = append(u.Open, r.text("server"))
+		}
+	})
+	return u, err
+}
+
+// ReadHello reads a greeting.
+func ReadHello(text []byte) (h service.Hello, err error) {
+	err = answer(text, "hello", func(r row) {
+		switch r.kind {
+		case "# hello":
+			h = service.Hello{Major: uint32(r.num("major", 32)), Minor: uint32(r.num("minor", 32)), Name: r.text("name"), Epoch: r.num("epoch", 64)}
+		case "zone":
+			h.Zones = append(h.Zones, r.text("name"))
+		case "class":
+			h.Classes = append(h.Classes, fleet.VisitClass{Name: r.text("name"), Effect: fleet.Effect(r.num("effect", 8)), Group: fleet.Group(r.num("group", 8)), Window: fleet.Time(r.num("window_ns", 63)),
+				Expected: fleet.Time(r.num("expected_ns", 63)), HardStop: fleet.Time(r.num("hard_stop_ns", 63))})
+		}
+	})
+	return h, err
+}
+
+// ReadCounted reads the answer to a batch.
+func ReadCounted(text []byte) (seq uint64, err error) {
+	err = answer(text, "counted", func(r row) { seq = r.num("seq", 64) })
+	return seq, err
+}
+
+// ReadReport reads the rows of a batch.
+func ReadReport(payload []byte, into *service.Report) error {
+	return read(payload, func(r row) {
+		switch r.kind {
+		case "met":
+			m := service.Met{Server: r.text("server"), Tries: r.num("tries", 64), Failed: r.num("failed", 64), Good: r.num("good", 64), GoodMs: r.num("good_ms", 64)}
+			for _, f := range strings.Split(r.text("load"), ",") {
+				if f == "" {
+					continue
+				}
+				v, err := strconv.ParseUint(f, 10, 32)
+				if err != nil {
+					r.bad("load")
+				}
+				m.Load = append(m.Load, uint32(v))
+			}
+			into.Met = append(into.Met, m)
+		case "came":
+			into.Came = append(into.Came, service.Came{Class: r.text("class"), Visits: r.num("visits", 64), NoAnswer: r.num("no_answer", 64)})
+		}
+	})
+}
+
+// ReadServer reads what is known of a server.
+func ReadServer(text []byte) (s service.ServerState, err error) {
+	err = answer(text, "server", func(r row) {
+		switch r.kind {
+		case "# server":
+			s = service.ServerState{Minor: uint32(r.num("minor", 32)), Name: r.text("name"), Addr: r.text("addr"), Zone: r.text("zone"), State: r.text("state"),
+				ColdFor: fleet.Time(r.num("cold_ns", 63)), Withdrawn: r.num("withdrawn", 1) == 1, Sight: r.text("sight")}
+		case "weight":
+			s.Weights = append(s.Weights, service.ClassWeight{Zone: r.text("zone"), Class: r.text("class"), Weight: int(r.num("weight", 16))})
+		case "why":
+			s.Why = append(s.Why, r.text("text"))
+		}
+	})
+	return s, err
+}
+
+// ReadHistory reads versions.
+func ReadHistory(text []byte) (h service.History, err error) {
+	err = answer(text, "history", func(r row) {
+		switch r.kind {
+		case "# history":
+			h.Minor = uint32(r.num("minor", 32))
+		case "version":
+			h.Versions = append(h.Versions, service.VersionRow{Version: r.version("version"), Digest: r.digest("digest"), At: fleet.Time(r.int("at_ns")), Lines: int(r.num("lines", 31)), Why: r.text("why")})
+		}
+	})
+	return h, err
+}
+
+// ReadSummary reads a summary.
+func ReadSummary(text []byte) (m service.Summary, err error) {
+	err = answer(text, "summary", func(r row) {
+		if r.kind != "# summary" {
+			return
+		}
+		n := func(key string) int { return int(r.num(key, 31)) }
+		m = service.Summary{Minor: uint32(r.num("minor", 32)), Governor: r.text("governor"), Program: r.text("program"), Epoch: r.num("epoch", 64), ListRev: r.num("list_rev", 64),
+			ListAge: fleet.Time(r.num("list_age_ns", 63)), Live: r.num("live", 1) == 1, Servers: n("servers"), Ready: n("ready"), Cold: n("cold"), Withdrawn: n("withdrawn"),
+			ProxiesUp: n("proxies_up"), ProxiesAll: n("proxies_all"), Watchers: n("watchers")}
+	})
+	return m, err
+}
--- /dev/null
+++ b/service/words.go
@@ -0,0 +1,173 @@
+// Package service answers the questions of programs that send visits themselves: which servers a class may use from a zone and with what
+// weights, whole and as changes; what became of visits; what is known of a server; what tables were; how the fleet stands. It knows no
+// wire: package rpc and package text put the same answers on two. Clients of a zone are to the governor one proxy, so that
+// what reaches them has gone the way of every table: decided by the module, judged by the guard, paced with all else.
+// docs/design/service.md tells the ways weighed.
+package service
+
+import (
+	"context"
+	"fmt"
+
+	"cressknot/fleet"
+	"cressknot/tables"
+)
+
+// Major and Minor are the version of the protocols that this program speaks. Minor steps add what older readers leave out without harm.
+const (
+	Major = 1
+	Minor = 0
+)
+
+// Code is what kind of fault an answer is. Codes are the same in both protocols and never change.
+type Code string
+
+// The codes.
+const (
+	Unready     Code = "unready"     // nothing to tell yet: the governor has just started
+	NoZone      Code = "no-zone"     // the zone is none of the governor's
+	NoClass     Code = "no-class"    // the class is none
+	NoServer    Code = "no-server"   // the server was never heard of
+	BadRequest  Code = "bad-request" // the question makes no sense; the text names the place
+	TooLarge    Code = "too-large"   // over a bound, which the text names
+	Overloaded  Code = "overloaded"  // asked too much, by this caller or by all: to be asked again after RetryAfter
+	Busy        Code = "busy"        // no answer in time
+	OtherMajor  Code = "other-major" // the caller speaks a version that this governor doesn't
+	Closing     Code = "closing"     // the governor stops: another one is to be asked
+	TooSlow     Code = "too-slow"    // a watcher that took nothing in for long
+	Unreachable Code = "unreachable" // no governor answers; only client libraries say so
+	Malformed   Code = "malformed"   // an answer that can't be read; only client libraries say so
+)
+
+// Fault is an answer that is none.
+type Fault struct {
+	Code       Code
+	Text       string
+	RetryAfter fleet.Time
+}
+
+func (f *Fault) Error() string { return string(f.Code) + ": " + f.Text }
+
+func fault(code Code, format string, args ...any) *Fault {
+	return &Fault{Code: code, Text: fmt.Sprintf(format, args...)}
+}
+
+// Line is a server that a class may use, with its weight: 1 to 256; in a change 0 takes it out.
+type Line struct {
+	Server, Addr string
+	Weight       int
+}
+
+// ClassTable is what a class's visits go by. Where it is not laid the governor has none yet, and what a caller holds stands, less
+// what is not open.
+type ClassTable struct {
+	Class  string
+	Laid   bool
+	Amount int // thousandths of the visits to let in; negative: all
+	Retry  fleet.Retry
+	Digest tables.Digest // of the whole
+	Lines  []Line        // by server; in a change those that differ
+}
+
+// Update is the whole of a zone, what has changed of it, or a sign of life.
+type Update struct {
+	Minor    uint32 // of the protocol that it was written for
+	Governor string
+	ListRev  uint64 // of the list that it was decided by
+	Live     bool   // that list came from its source since the governor started
+	Zone     string
+	From     tables.Version // None: the whole
+	To       tables.Version
+	Classes  []ClassTable
+	Shut     bool     // Open is told
+	Open     []string // servers that a caller may go on using where a class is not laid, by name
+	Beat     bool
+}
+
+// Hello tells who speaks.
+type Hello struct {
+	Major, Minor uint32
+	Name         string
+	Epoch        uint64
+	Zones        []string
+	Classes      []fleet.VisitClass
+}
+
+// Met is what a caller met at a server since its last report.
+type Met struct {
+	Server                      string
+	Tries, Failed, Good, GoodMs uint64
+	Load                        []uint32 // thousandths, in the order of the governor's settings; the newest; may be none
+}
+
+// Came is what came to a class at a caller since its last report.
+type Came struct {
+	Class            string
+	Visits, NoAnswer uint64
+}
+
+// Report is a batch of outcomes. A batch that comes again has the same number and counts once.
+type Report struct {
+	Zone    string
+	Session uint64 // of the caller, drawn at its start
+	Seq     uint64 // from 1
+	Met     []Met
+	Came    []Came
+}
+
+// ServerState is what is known of a server and why.
+type ServerState struct {
+	Minor                   uint32
+	Name, Addr, Zone, State string
+	ColdFor                 fleet.Time // how long it counts as cold still
+	Withdrawn               bool
+	Sight                   string
+	Weights                 []ClassWeight
+	Why                     []string
+}
+
+// ClassWeight is the weight of a server for a class in a zone.
+type ClassWeight struct {
+	Zone, Class string
+	Weight      int
+}
+
+// VersionRow is one version of a table.
+type VersionRow struct {
+	Version tables.Version
+	Digest  tables.Digest
+	At      fleet.Time
+	Lines   int // that it changed
+	Why     string
+}
+
+// History is some versions of a table, oldest first.
+type History struct {
+	Minor    uint32
+	Versions []VersionRow
+}
+
+// Summary is how the fleet stands, as one governor has it.
+type Summary struct {
+	Minor                           uint32
+	Governor, Program               string
+	Epoch, ListRev                  uint64
+	ListAge                         fleet.Time
+	Live                            bool
+	Servers, Ready, Cold, Withdrawn int
+	ProxiesUp, ProxiesAll, Watchers int
+}
+
+// Desk answers what the governor's loop knows.
+type Desk interface {
+	Server(ctx context.Context, name string) (ServerState, error)
+	History(ctx context.Context, zone, class string, most int) ([]VersionRow, error)
+	Summary(ctx context.Context) (Summary, error)
+}
+
+// Facts are what callers are told beside tables, when it changes.
+type Facts struct {
+	ListRev uint64
+	Live    bool
+	Open    []string // servers listed as ready that are not withdrawn, by name
+}
--- a/steer/channel.go
+++ b/steer/channel.go
@@ -485,6 +485,25 @@
 	return lines
 }
 
+// TableOf gives the table that a proxy's class goes by.
+func (p *Plane) TableOf(id fleet.ProxyID, class fleet.ClassID) (table fleet.TableID, bound bool) {
+	x := p.proxies[id]
+	if x == nil || int(class) >= len(x.on) {
+		return 0, false
+	}
+	return x.on[class], x.bound[class]
+}
+
+// Published gives the weight that proxies on a table are sent of a server.
+func (p *Plane) Published(table fleet.TableID, id fleet.ServerID) int16 {
+	t := p.tables[table]
+	i, known := p.index[id]
+	if t == nil || !known {
+		return 0
+	}
+	return p.published(table, t, i)
+}
+
 // Withdrawn tells whether a server is withdrawn.
 func (p *Plane) Withdrawn(id fleet.ServerID) bool {
 	i, ok := p.index[id]
