--- a/service/hub.go
+++ b/service/hub.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -81,6 +82,7 @@
 // pending is a message that some watchers have not taken in yet.
 type pending struct {
 	n, seq   uint64
+	at       fleet.Time
 	version  tables.Version
 	waiting  int
 	failures []steer.Failure
@@ -186,7 +188,7 @@
 	}
 	failures, changed := z.view.Apply(m.Changes, h.opt.Names.Of)
 	z.n++
-	p := &pending{n: z.n, seq: m.Seq, version: z.view.Version(), failures: failures}
+	p := &pending{n: z.n, seq: m.Seq, at: h.opt.Now(), version: z.view.Version(), failures: failures}
 	if changed {
 		for w := range z.watchers {
 			if !w.free {
@@ -216,10 +218,15 @@
 	}
 }
 
+// holdsUp tells whether a message waits for the watcher.
+func (w *Watcher) holdsUp(p *pending) bool {
+	return !w.free && p.n > w.base && p.version.Compare(w.acked) > 0
+}
+
 // release counts a watcher out of all that wait for what comes after what it has acknowledged.
 func (h *Hub) release(w *Watcher) {
 	for _, p := range w.zone.pending {
-		if p.n > w.base && p.version.Compare(w.acked) > 0 {
+		if w.holdsUp(p) {
 			p.waiting--
 		}
 	}
@@ -248,6 +255,8 @@
 			since := fleet.Time(0)
 			if len(w.waits) > 0 {
 				since = w.waits[0].at
+			} else if i := slices.IndexFunc(z.pending, func(p *pending) bool { return w.holdsUp(p) }); i >= 0 {
+				since = z.pending[i].at // its wire did not even ask for it
 			}
 			switch Judge(now, since) {
 			case Slow:
