--- /dev/null
+++ b/client/golden_test.go
@@ -0,0 +1,120 @@
+package client_test
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"cressknot/fleet"
+	"cressknot/service"
+	overrpc "cressknot/service/rpc"
+	"cressknot/service/rpc/pb"
+	"cressknot/service/text"
+	"cressknot/tables"
+)
+
+var update = flag.Bool("update", false, "write the golden files of this version, and those of one to come")
+
+// forms are what both wires carry, with how each is written and read. Read gives what the other wire must give, too.
+var forms = []struct {
+	name  string
+	value any
+	proto func(any) proto.Message
+	plain func(any) []byte
+	empty func() proto.Message
+	of    func(proto.Message) any
+	read  func([]byte) (any, error)
+}{
+	{"update", service.Update{Governor: "g-1", ListRev: 7, Live: true, Zone: "a", From: tables.Version{Epoch: 3, Count: 4}, To: tables.Version{Epoch: 3, Count: 6}, Shut: true, Open: []string{"s1", "s 2"},
+		Classes: []service.ClassTable{{Class: "look", Laid: true, Amount: -1, Retry: fleet.RetryIfNeverRan, Digest: 0xfeed, Lines: []service.Line{{Server: "s1", Addr: "x:1", Weight: 256}, {Server: "s2"}}}, {Class: "book", Amount: 500}}},
+		func(v any) proto.Message { u := v.(service.Update); return overrpc.UpdateTo(&u) }, func(v any) []byte { u := v.(service.Update); return text.PrintUpdate(&u) },
+		func() proto.Message { return &pb.Update{} }, func(m proto.Message) any { return overrpc.UpdateOf(m.(*pb.Update)) }, func(b []byte) (any, error) { return text.ReadUpdate(b) }},
+	{"hello", service.Hello{Major: 1, Name: "g-1", Epoch: 9, Zones: []string{"a", "b"}, Classes: []fleet.VisitClass{{Name: "look", Effect: fleet.Keyed, Group: fleet.GroupZone, Window: 5, Expected: 6, HardStop: 7}}},
+		func(v any) proto.Message { return overrpc.HelloTo(v.(service.Hello)) }, func(v any) []byte { return text.PrintHello(v.(service.Hello)) },
+		func() proto.Message { return &pb.Hello{} }, func(m proto.Message) any { return overrpc.HelloOf(m.(*pb.Hello)) }, func(b []byte) (any, error) { return text.ReadHello(b) }},
+	{"server", service.ServerState{Name: "s1", Addr: "x:1", Zone: "a", State: "ready", ColdFor: 5, Withdrawn: true, Sight: "mute", Weights: []service.ClassWeight{{Zone: "a", Class: "look", Weight: 9}}, Why: []string{"because; a = b"}},
+		func(v any) proto.Message { return overrpc.ServerTo(v.(service.ServerState)) }, func(v any) []byte { return text.PrintServer(v.(service.ServerState)) },
+		func() proto.Message { return &pb.ServerState{} }, func(m proto.Message) any { return overrpc.ServerOf(m.(*pb.ServerState)) }, func(b []byte) (any, error) { return text.ReadServer(b) }},
+	{"history", service.History{Versions: []service.VersionRow{{Version: tables.Version{Epoch: 3, Count: 4}, Digest: 5, At: -6, Lines: 7, Why: "set by hand"}}},
+		func(v any) proto.Message { return overrpc.HistoryTo(v.(service.History)) }, func(v any) []byte { return text.PrintHistory(v.(service.History)) },
+		func() proto.Message { return &pb.HistoryReply{} }, func(m proto.Message) any { return overrpc.HistoryOf(m.(*pb.HistoryReply)) }, func(b []byte) (any, error) { return text.ReadHistory(b) }},
+	{"summary", service.Summary{Governor: "g", Program: "1 2", Epoch: 3, ListRev: 4, ListAge: 5, Live: true, Servers: 6, Ready: 5, Cold: 4, Withdrawn: 3, ProxiesUp: 2, ProxiesAll: 1, Watchers: 9},
+		func(v any) proto.Message { return overrpc.SummaryTo(v.(service.Summary)) }, func(v any) []byte { return text.PrintSummary(v.(service.Summary)) },
+		func() proto.Message { return &pb.SummaryReply{} }, func(m proto.Message) any { return overrpc.SummaryOf(m.(*pb.SummaryReply)) }, func(b []byte) (any, error) { return text.ReadSummary(b) }},
+}
+
+// newer writes an answer as a minor version to come might: with a field, a key and a row that nobody here knows.
+func newer(p, plain []byte) ([]byte, []byte) {
+	p = protowire.AppendTag(p, 1000, protowire.BytesType)
+	p = protowire.AppendString(p, "to come")
+	return p, append(append([]byte(nil), plain...), "shade server=s1 of=0.5\n"...)
+}
+
+// TestEveryVersionIsRead reads the bytes of each version that was ever written, and of one to come: both wires give the same, the parts that
+// are known.
+func TestEveryVersionIsRead(t *testing.T) {
+	for _, f := range forms {
+		if *update {
+			p, err := proto.MarshalOptions{Deterministic: true}.Marshal(f.proto(f.value))
+			if err != nil {
+				t.Fatal(err)
+			}
+			plain := f.plain(f.value)
+			p9, plain9 := newer(p, plain)
+			for name, b := range map[string][]byte{"1.0/" + f.name + ".pb": p, "1.0/" + f.name + ".txt": plain, "1.9/" + f.name + ".pb": p9, "1.9/" + f.name + ".txt": plain9} {
+				path := filepath.Join("testdata", "golden", name)
+				if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+					t.Fatal(err)
+				}
+				if err := os.WriteFile(path, b, 0o644); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		files, _ := filepath.Glob("testdata/golden/*/" + f.name + ".pb")
+		if len(files) < 2 {
+			t.Fatalf("%d golden files of %s", len(files), f.name)
+		}
+		for _, path := range files {
+			p, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			plain, err := os.ReadFile(path[:len(path)-len("pb")] + "txt")
+			if err != nil {
+				t.Fatal(err)
+			}
+			m := f.empty()
+			if err := proto.Unmarshal(p, m); err != nil {
+				t.Fatal(err)
+			}
+			one := f.of(m)
+			other, err := f.read(plain)
+			if err != nil || !reflect.DeepEqual(one, f.value) || !reflect.DeepEqual(other, f.value) {
+				t.Errorf("%s: %v\n%+v\n%+v\nwant %+v", path, err, one, other, f.value)
+			}
+		}
+	}
+}
+
+// FuzzAnswers: whatever bytes come, a reader gives an answer or an error, and what it gives can be written and read again.
+func FuzzAnswers(f *testing.F) {
+	for _, one := range forms {
+		f.Add(one.plain(one.value))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		u, err := text.ReadUpdate(b)
+		if err != nil {
+			return
+		}
+		again, err := text.ReadUpdate(text.PrintUpdate(&u))
+		if err != nil || !reflect.DeepEqual(u, again) {
+			t.Errorf("%+v, then %+v (%v)", u, again, err)
+		}
+	})
+}
--- /dev/null
+++ b/client/testdata/golden/1.0/hello.pb
@@ -0,0 +1,2 @@
+g-1 	*a*b2
+look (0
--- /dev/null
+++ b/client/testdata/golden/1.0/server.pb
@@ -0,0 +1,2 @@
+s1x:1"a*ready08BmuteJ
+alook	Rbecause; a = b
--- /dev/null
+++ b/client/testdata/golden/1.0/summary.pb
@@ -0,0 +1,1 @@
+g1 2 (08@HPX`hp	
--- /dev/null
+++ b/client/testdata/golden/1.9/hello.pb
@@ -0,0 +1,2 @@
+g-1 	*a*b2
+look (0Â>to come
--- a/internal/drill/day.go
+++ b/internal/drill/day.go
@@ -48,6 +48,7 @@
 	Nodes     int      `json:"nodes"`
 	Proxies   int      `json:"proxies"`
 	Governors int      `json:"governors"`
+	Libraries int      `json:"libraries"`
 	Visits    float64  `json:"visits"`
 	Front     string   `json:"front"`
 	Admission string   `json:"admission"`
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -51,6 +51,7 @@
 type governor struct {
 	name, config, socket, log string
 	reports                   string // host:port that nodes push to, "" for none
+	rpc, text                 string // where programs ask, "" for nowhere
 	mu                        sync.Mutex
 	cmd                       *exec.Cmd
 	cpu                       time.Duration // of processes that ended
@@ -67,6 +68,7 @@
 	proxies    []*standin.Proxy
 	zones      []string // by proxy
 	governors  []*governor
+	libraries  []*library
 	ownerOf    []int // governor of a proxy
 	rng        *rand.Rand
 	mu         sync.Mutex
@@ -74,6 +76,7 @@
 	burst      atomic.Uint64 // float bits: factor of all visits
 	hot        atomic.Int64  // proxy that gets more, -1: none
 	hotBy      atomic.Uint64
+	ids        atomic.Uint64 // of visits
 	started    time.Time
 	tally      tally
 	report     *Report
@@ -105,6 +108,9 @@
 	p.started = time.Now()
 	p.reporters(day)
 	p.callers(day)
+	if err := p.programs(day); err != nil {
+		return nil, err
+	}
 	p.troubles(day)
 	p.force(day)
 	p.sample(day)
@@ -269,13 +275,17 @@
 	if d.Store {
 		s["store"] = map[string]any{"folder": filepath.Join(p.dir, own.name+".store")}
 	}
-	if d.Pushed {
-		l, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free now
-		if err != nil {
+	if d.Libraries > 0 {
+		var err error
+		if own.rpc, err = freePort(); err != nil {
 			return err
 		}
-		own.reports = l.Addr().String()
-		if err := l.Close(); err != nil {
+		own.text = filepath.Join(p.dir, fmt.Sprintf("s%d.sock", g+1))
+		s["service"] = map[string]any{"rpc": own.rpc, "text": own.text, "visits": d.Visits / float64(d.Proxies+d.Libraries) * float64(d.Libraries) / float64(len(d.Zones))}
+	}
+	if d.Pushed {
+		var err error
+		if own.reports, err = freePort(); err != nil {
 			return err
 		}
 		s["reports"] = map[string]any{"load": "pushed", "listen": own.reports}
@@ -294,6 +304,15 @@
 	return os.WriteFile(own.config, text, 0o644)
 }
 
+// freePort gives a loopback address that is free now.
+func freePort() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
 func span(s Span) string { return time.Duration(s).String() }
 
 func (g *governor) start(launch func(string) *exec.Cmd) error {
@@ -372,6 +391,7 @@
 		_ = g.end(syscall.SIGKILL)
 	}
 	p.background.Wait()
+	p.leave()
 	for _, x := range p.proxies {
 		x.Down()
 	}
@@ -405,8 +425,7 @@
 // callers lets visits come to each proxy at chance moments, whatever becomes of those before.
 func (p *play) callers(ctx context.Context) {
 	client := &http.Client{Timeout: callMost, Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 10 * time.Second}}
-	var ids atomic.Uint64
-	each := p.Day.Visits / float64(p.Day.Proxies)
+	each := p.Day.Visits / float64(p.Day.Proxies+p.Day.Libraries)
 	shares := 0.0
 	for _, c := range p.Day.Classes {
 		shares += c.Share
@@ -431,18 +450,23 @@
 					case <-time.After(wait):
 					}
 				}
-				draw, class := rng.Float64()*shares, 0
-				for draw -= p.Day.Classes[0].Share; draw > 0 && class < len(p.Day.Classes)-1; {
-					class++
-					draw -= p.Day.Classes[class].Share
-				}
 				p.background.Add(1)
-				go p.call(client, i, class, ids.Add(1))
+				go p.call(client, i, p.drawClass(rng, shares), p.ids.Add(1))
 			}
 		}()
 	}
 }
 
+// drawClass draws a class by the share of its visits.
+func (p *play) drawClass(rng *rand.Rand, shares float64) (class int) {
+	draw := rng.Float64() * shares
+	for draw -= p.Day.Classes[0].Share; draw > 0 && class < len(p.Day.Classes)-1; {
+		class++
+		draw -= p.Day.Classes[class].Share
+	}
+	return class
+}
+
 func (p *play) call(client *http.Client, proxy, class int, id uint64) {
 	defer p.background.Done()
 	c := p.Day.Classes[class]
@@ -518,6 +542,7 @@
 		r.Governors = append(r.Governors, row)
 	}
 	p.background.Wait()
+	p.leave()
 	for _, g := range p.governors {
 		if err := g.end(syscall.SIGTERM); err != nil && !errors.Is(err, os.ErrProcessDone) {
 			r.Troubles = append(r.Troubles, "stopping "+err.Error())
--- a/internal/drill/report.go
+++ b/internal/drill/report.go
@@ -29,6 +29,7 @@
 	Mutes                      []float64       `json:"mutes_s,omitempty"`   // from a reporter's end until a governor told it from a death
 	Unnoticed                  int             `json:"unnoticed,omitempty"` // those that it did not
 	Backs                      []float64       `json:"backs_s,omitempty"`   // from a way back until a proxy held it, sorted
+	Libraries                  []LibraryRow    `json:"libraries,omitempty"`
 	Dark                       *Dark           `json:"dark,omitempty"`
 	Versions                   map[string]int  `json:"versions"` // of the first class's tables that proxies ended on
 	PushesTaken, PushesRefused int             // weights that staff set by hand
@@ -219,6 +220,10 @@
 				g.Info["Tries_told"], g.Info["Tries_waiting"], g.Info["Tries_aged"], g.Info["Tries_unheard"], g.Info["Deadlines_missed"])
 		}
 	}
+	for _, l := range r.Libraries {
+		fmt.Fprintf(out, "%s over %s: %d visits, %.3f tries each, %d further ones kept back; followed %d times, %.1f s without\n", l.Name, l.Over, l.Visits,
+			float64(l.Tries)/float64(max(1, l.Visits)), l.Denied, l.Follows, l.Without)
+	}
 	if d := r.Dark; d != nil && len(d.Served) > 0 && len(d.Live) > 0 {
 		fmt.Fprintf(out, "without the list's source: proxies held tables after %.1f s (p50), %.1f s (most), %d never; %.1f%% in time after 10 s; %d lines of ghosts then\n",
 			quantile(d.Served, 0.5), d.Served[len(d.Served)-1], d.Unheld, 100*d.InTime, d.Ghosts)
--- a/internal/standin/proxy.go
+++ b/internal/standin/proxy.go
@@ -666,24 +666,7 @@
 func (p *Proxy) try(ctx context.Context, l *line, class ProxyClass, visit uint64, n int, mayHaveRun bool) (good, neverRan bool) {
 	p.watch.Sent(p.Name, l.name, class.Name, visit, n, mayHaveRun)
 	began := time.Now()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+l.addr+"/visit", nil)
-	var res *http.Response
-	if err == nil {
-		req.Header.Set("X-Class", class.Name)
-		req.Header.Set("X-Proxy", p.Name)
-		req.Header.Set("X-Visit", strconv.FormatUint(visit, 10))
-		res, err = p.http.Do(req)
-	}
-	load := ""
-	if err == nil {
-		_, _ = io.Copy(io.Discard, res.Body)
-		res.Body.Close()
-		good = res.StatusCode == http.StatusOK
-		neverRan = res.Header.Get("X-Never-Ran") != ""
-		load = res.Header.Get("X-Load")
-	} else if op := new(net.OpError); asDial(err, &op) {
-		neverRan = true
-	}
+	good, neverRan, load, err := SendVisit(ctx, &p.http, l.addr, p.Name, class.Name, visit)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l.open--
@@ -720,6 +703,25 @@
 	return good, neverRan
 }
 
+// SendVisit sends a visit to a node in the name of a proxy. NeverRan: there is proof that it did nothing.
+func SendVisit(ctx context.Context, over *http.Client, addr, proxy, class string, visit uint64) (good, neverRan bool, load string, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/visit", nil)
+	if err != nil {
+		return false, true, "", err
+	}
+	req.Header.Set("X-Class", class)
+	req.Header.Set("X-Proxy", proxy)
+	req.Header.Set("X-Visit", strconv.FormatUint(visit, 10))
+	res, err := over.Do(req)
+	if err != nil {
+		op := new(net.OpError)
+		return false, asDial(err, &op), "", err
+	}
+	defer res.Body.Close()
+	_, _ = io.Copy(io.Discard, res.Body)
+	return res.StatusCode == http.StatusOK, res.Header.Get("X-Never-Ran") != "", res.Header.Get("X-Load"), nil
+}
+
 // asDial tells whether an error is that of a dial: the visit has never left.
 func asDial(err error, op **net.OpError) bool {
 	for e := err; e != nil; {
