--- /dev/null
+++ b/client/bench_test.go
@@ -0,0 +1,181 @@
+package client_test
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cressknot/client"
+	"cressknot/fleet"
+	"cressknot/service"
+	overrpc "cressknot/service/rpc"
+	"cressknot/service/text"
+	"cressknot/steer"
+	"cressknot/tables"
+)
+
+// bench starts a governor of 700 servers in three classes.
+func bench(b *testing.B) *governor {
+	g := start(&testing.T{}, "g1", 100, 0)
+	b.Cleanup(g.stop)
+	all := make([]int, 700)
+	for i := range all {
+		all[i] = i
+	}
+	g.open(1, all...)
+	g.lay(steer.AddLine, steer.In, 128, all...)
+	return g
+}
+
+// BenchmarkFanOut changes 20 servers in three classes while 5,000 watchers follow, who run on the same cores; an op lasts until the last
+// of them has taken the change in.
+func BenchmarkFanOut(b *testing.B) {
+	const watchers = 5000
+	for i, via := range transports {
+		b.Run(via.name, func(b *testing.B) {
+			g := bench(b)
+			ctx, cancel := context.WithCancel(context.Background())
+			var done sync.WaitGroup
+			var got atomic.Int64
+			var goal atomic.Int64
+			reached := make(chan struct{}, 1)
+			for w := range watchers {
+				done.Add(1)
+				go func() {
+					defer done.Done()
+					time.Sleep(time.Duration(w) * time.Millisecond) // not all dials at once
+					conn, err := via.via.Dial(ctx, g.addrs[i], fmt.Sprint("w", w))
+					if err == nil {
+						_, err = conn.Greet(ctx, service.Hello{Major: 1, Name: fmt.Sprint("w", w)})
+					}
+					if err != nil {
+						b.Error(err)
+						return
+					}
+					defer conn.Close()
+					if via.name == "runtime" { // a watch has a connection of its own; sockets of one process are bounded
+						conn.Close()
+					}
+					holds := tables.None
+					for ctx.Err() == nil {
+						if err := conn.Watch(ctx, "a", holds, func(u *service.Update) error {
+							if holds = u.To; !u.Beat && got.Add(1) == goal.Load() {
+								reached <- struct{}{}
+							}
+							return nil
+						}); ctx.Err() == nil {
+							if is, _ := code(err); is != service.Overloaded {
+								b.Error(err)
+								return
+							}
+							time.Sleep(time.Duration(100+w%100) * time.Millisecond) // as it asks for
+						}
+					}
+				}()
+			}
+			for g.hub.Watchers() < watchers && !b.Failed() {
+				time.Sleep(10 * time.Millisecond)
+			}
+			time.Sleep(2 * time.Second) // first updates are taken in
+			var took []time.Duration
+			for n := range b.N {
+				goal.Store(got.Load() + watchers)
+				began := time.Now()
+				servers := make([]int, 20)
+				for k := range servers {
+					servers[k] = (n*20 + k) % 700
+				}
+				g.lay(steer.SetLine, steer.Stays, int16(n%250+1), servers...)
+				select {
+				case <-reached:
+				case <-time.After(20 * time.Second):
+					b.Fatalf("%d of %d have it", watchers-goal.Load()+got.Load(), watchers)
+				}
+				took = append(took, time.Since(began))
+			}
+			sort.Slice(took, func(i, j int) bool { return took[i] < took[j] })
+			b.ReportMetric(float64(took[len(took)/2].Microseconds())/1000, "ms_to_last_p50")
+			b.ReportMetric(float64(took[len(took)-1].Microseconds())/1000, "ms_to_last_most")
+			cancel()
+			done.Wait()
+		})
+	}
+}
+
+// BenchmarkSizes prints what one change of 20 servers in three classes, and a whole of 700, take on each wire.
+func BenchmarkSizes(b *testing.B) {
+	v := service.NewView("g1", "a", 1, []string{"look", "book", "issue"})
+	var all []steer.Change
+	for c := range 3 {
+		for s := range 700 {
+			all = append(all, steer.Change{Kind: steer.AddLine, Class: fleet.ClassID(c), Server: fleet.ServerID(s), Weight: 128, State: steer.In})
+		}
+	}
+	v.Apply(all, names{1000}.Of)
+	from := v.Version()
+	for c := range 3 {
+		for s := range 20 {
+			v.Apply([]steer.Change{{Kind: steer.SetLine, Class: fleet.ClassID(c), Server: fleet.ServerID(s), Weight: 64}}, names{1000}.Of)
+		}
+	}
+	for name, u := range map[string]service.Update{"change": v.Since(from), "whole": v.Since(tables.None)} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				b.ReportMetric(float64(proto.Size(overrpc.UpdateTo(&u))), "rpc_bytes")
+				b.ReportMetric(float64(len(text.PrintUpdate(&u))), "text_bytes")
+			}
+		})
+	}
+}
+
+// BenchmarkRequests asks a governor for its greeting from 16 connections at once.
+func BenchmarkRequests(b *testing.B) {
+	for i, via := range transports {
+		b.Run(via.name, func(b *testing.B) {
+			g := bench(b)
+			var conns []client.Conn
+			for k := range 16 {
+				conn, err := via.via.Dial(context.Background(), g.addrs[i], fmt.Sprint("c", k))
+				if err != nil {
+					b.Fatal(err)
+				}
+				defer conn.Close()
+				conns = append(conns, conn)
+			}
+			var mu sync.Mutex
+			var took []time.Duration
+			var next atomic.Int64
+			var all sync.WaitGroup
+			began := time.Now()
+			for _, conn := range conns {
+				all.Add(1)
+				go func() {
+					defer all.Done()
+					var own []time.Duration
+					for next.Add(1) <= int64(b.N) {
+						ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+						at := time.Now()
+						if _, err := conn.Greet(ctx, service.Hello{Major: 1, Name: "c"}); err != nil {
+							b.Error(err)
+						}
+						own = append(own, time.Since(at))
+						cancel()
+					}
+					mu.Lock()
+					took = append(took, own...)
+					mu.Unlock()
+				}()
+			}
+			all.Wait()
+			sort.Slice(took, func(i, j int) bool { return took[i] < took[j] })
+			b.ReportMetric(float64(b.N)/time.Since(began).Seconds(), "requests/s")
+			b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99_us")
+		})
+	}
+}
--- /dev/null
+++ b/client/example_test.go
@@ -0,0 +1,49 @@
+package client_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"cressknot/client"
+	"cressknot/client/rpc"
+)
+
+// A program that books slots: it follows its zone's tables over gRPC (package runtime does the same over the text protocol) and lets the
+// library choose servers, try again where that is safe, and report.
+func Example() {
+	c, err := rpc.New(client.Config{Name: "desk-7", Zone: "howrah", Governors: []string{"127.0.0.1:9001", "127.0.0.1:9002"}, Staleness: 10 * time.Minute})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if err := c.Ready(ctx); err != nil { // no governor answers yet
+		fmt.Println(err)
+		return
+	}
+	book, err := c.Class("slot-book")
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	err = c.Do(ctx, book, func(ctx context.Context, t client.Try) client.Result {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.Node.Addr+"/book", nil)
+		if err != nil {
+			return client.Result{Outcome: client.NeverRan, Err: err}
+		}
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return client.Result{Outcome: client.Failed, Err: err} // it may have run
+		}
+		defer res.Body.Close()
+		if res.StatusCode != http.StatusOK {
+			return client.Result{Outcome: client.Failed, Err: fmt.Errorf("%s", res.Status)}
+		}
+		return client.Result{}
+	})
+	fmt.Println(err)
+}
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -191,6 +191,29 @@
 	}
 }
 
+// TestProgramsWithLibrariesKeepTheRules plays a short day of programs that send their visits by both client libraries, through a governor's
+// death, a death, a drain and lost answers.
+func TestProgramsWithLibrariesKeepTheRules(t *testing.T) {
+	r := playDay(t, "library", func(o *Options) {
+		o.Day.Length = Span(18 * time.Second)
+		o.Day.Troubles = []Trouble{{At: Span(5 * time.Second), For: Span(4 * time.Second), What: "crash"}, {At: Span(6 * time.Second), For: Span(6 * time.Second), What: "drain", Part: 0.15},
+			{At: Span(8 * time.Second), For: Span(time.Second), What: "governor-kill"}, {At: Span(10 * time.Second), For: Span(6 * time.Second), What: "answers-lost", Part: 0.2, Size: 0.5}}
+	})
+	for _, v := range r.Rules {
+		if len(v.Breaks) > 0 {
+			t.Errorf("%s: %v", v.Rule, v.Breaks)
+		}
+	}
+	if len(r.Troubles) > 0 || len(r.Libraries) != 8 {
+		t.Error(r.Troubles)
+	}
+	for _, l := range r.Libraries {
+		if l.Visits < 50 || l.Follows == 0 || float64(l.Tries) > 1.3*float64(l.Visits) {
+			t.Errorf("%+v", l)
+		}
+	}
+}
+
 // kills of a governor that TestKills plays: -kills 100 for the whole.
 var kills = flag.Int("kills", 10, "kills of a governor to play")
 
--- a/service/hub_test.go
+++ b/service/hub_test.go
@@ -302,6 +302,17 @@
 	if limit, _ := idle.Limit(); limit > limitFirst {
 		t.Errorf("limit %.0f of what was never tried", limit)
 	}
+	jitter := NewLimits()
+	for i := range 3000 { // answers of microseconds, some ten times as long as others
+		if f := jitter.Ask(now, fmt.Sprint(i), AskWatch); f != nil {
+			t.Fatalf("%v after %d quick answers", f, i)
+		}
+		jitter.Done(now, fleet.Time(1+10*(i%10/9))*1000)
+		now += 10 * fleet.Millisecond
+	}
+	if limit, _ := jitter.Limit(); limit < limitFirst {
+		t.Errorf("limit %.0f by the jitter of quick answers", limit)
+	}
 	slow := NewLimits()
 	slow.best = 0.001
 	for range 100 {
--- a/service/limits.go
+++ b/service/limits.go
@@ -40,6 +40,7 @@
 	lookLeast    = 10                      // answers that make a look: fewer are chance
 	tolerance    = 2.0                     // times the best time that answers may take before fewer are taken at a time
 	bestKeeps    = 0.99                    // by which the best time of answers fades up at each look: it is forgotten in ten seconds
+	quickEnough  = 0.005                   // seconds: answers that take less never mean too much, however quick the best was
 	smoothing    = 0.2                     // part of a look that counts
 	retryLeast   = 100 * fleet.Millisecond // before an overloaded governor is asked again
 	retryMost    = 5 * fleet.Second
@@ -129,7 +130,7 @@
 	}
 	l.best = min(mean, l.best/bestKeeps)
 	// By the gradient of time over the best time: as many at a time as don't wait for each other, and room to find out about more.
-	gradient := min(1, max(0.5, tolerance*l.best/max(mean, 1e-9)))
+	gradient := min(1, max(0.5, max(quickEnough, tolerance*l.best)/max(mean, 1e-9)))
 	if next := l.limit*gradient + math.Sqrt(l.limit); gradient < 1 || float64(l.peak) >= l.limit/2 { // idle times tell nothing of more
 		l.limit = min(limitMost, max(limitLeast, (1-smoothing)*l.limit+smoothing*next))
 	}
