Let several governors serve the same proxies, who agree at the proxies themselves

One governor that dies left its proxies unattended, and two that name one proxy both steered it.

assign/ ranks governors for each proxy by hashes and keeps a lease at the proxy: each governor's entry in its map, with the epoch of its takeover and a beat. A takeover writes the entry, ends all other sessions of the runtime socket (show sess, shutdown session) and reads the entries again; what an earlier holder had under way ends with its session. A better ranked governor that is back asks, and is given the proxy in bounded moves.

--- /dev/null
+++ b/assign/assign.go
@@ -0,0 +1,243 @@
+// Package assign decides which governor serves which proxy when several could. The proxy itself is the judge: each governor keeps an entry
+// of its own in the proxy's map, with the epoch of its last takeover and a beat; the highest epoch holds. A governor takes over by writing
+// its entry, then ending all other sessions at the proxy, then reading the entries again: what an earlier holder had under way ends with
+// its session, and a session that came later sees the entry. So nothing that governors know of each other is needed for two of them never to
+// steer one proxy. It is pure. docs/design/assign.md tells the ways weighed, and what was searched.
+package assign
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cressknot/fleet"
+)
+
+const (
+	leaseFor   = 5 * fleet.Second  // a holder whose beat stands still for so long is gone: five beats, as many as a governor's restart may cost
+	rankGap    = 2 * fleet.Second  // more for each better ranked governor, which is to come first
+	LookEvery  = fleet.Second      // between two looks at a proxy that another one holds; beats go with polls, as often
+	holdLeast  = 10 * fleet.Second // before a proxy is handed on: governors that come and go move nothing back and forth
+	movesPerS  = 20.0              // proxies a second that a governor hands on: a table each, so that no channel is flooded
+	movesBurst = 20.0
+)
+
+// Entry is what a governor has written at a proxy.
+type Entry struct {
+	Governor string
+	Epoch    uint64 // of its takeover; 0: it holds nothing
+	Beat     uint64
+	Want     uint64 // its beat of asking for the proxy; 0: it doesn't
+}
+
+// Rank orders governors for a proxy, the one that should serve it first: by the highest of hashes of both names, so that a governor that
+// comes or goes moves its own proxies only.
+func Rank(proxy string, governors []string) []string {
+	score := func(g string) uint64 { return xxhash.Sum64String(g + "\x00" + proxy) }
+	ranked := slices.Clone(governors)
+	slices.SortFunc(ranked, func(a, b string) int { return cmp.Or(cmp.Compare(score(b), score(a)), strings.Compare(a, b)) })
+	return ranked
+}
+
+// Holder gives the entry that holds, with Epoch 0 for none.
+func Holder(entries []Entry) (h Entry) {
+	for _, e := range entries {
+		if e.Epoch > h.Epoch {
+			h = e
+		}
+	}
+	return h
+}
+
+// NextEpoch gives an epoch after all that are written, the wall clock if it is.
+func NextEpoch(now fleet.Time, entries []Entry) uint64 {
+	return max(uint64(max(1, now)), Holder(entries).Epoch+1)
+}
+
+// Wins tells, of the entries read after all other sessions were ended, whether a takeover holds.
+func Wins(me string, epoch uint64, entries []Entry) bool {
+	h := Holder(entries)
+	return h.Governor == me && h.Epoch == epoch
+}
+
+// Act is what is to be done about a proxy.
+type Act uint8
+
+// The acts.
+const (
+	Stand   Act = iota // another one holds it: look again
+	Want               // the same, and ask for it
+	Claim              // take it over
+	Keep               // hold it on
+	Release            // hand it on: end what is under way, take the entry away
+	Lost               // another one holds it: send nothing more
+)
+
+type seen struct {
+	beat uint64
+	at   fleet.Time // when it was seen first, on this governor's clock
+}
+
+// Lease is one governor's part of the protocol at one proxy.
+type Lease struct {
+	me      string
+	rank    []string // those that may serve it, the first one first
+	looked  fleet.Time
+	holder  map[uint64]seen // by epoch: the beat seen last
+	wanting map[string]seen
+	epoch   uint64 // of the takeover that is made or stands
+	since   fleet.Time
+	beat    uint64
+	want    uint64
+}
+
+// NewLease makes a governor's part; governors are all that may serve the proxy.
+func NewLease(me, proxy string, governors []string) *Lease {
+	return &Lease{me: me, rank: Rank(proxy, governors), holder: map[uint64]seen{}, wanting: map[string]seen{}}
+}
+
+func (l *Lease) place(governor string) int {
+	if at := slices.Index(l.rank, governor); at >= 0 {
+		return at
+	}
+	return len(l.rank)
+}
+
+// Look decides, of the entries that were read, what to do about a proxy that is not held, and when to look again.
+func (l *Lease) Look(now fleet.Time, entries []Entry) (act Act, again fleet.Time) {
+	if l.looked == 0 {
+		l.looked = now
+	}
+	h, mine := Holder(entries), l.place(l.me)
+	if h.Epoch == 0 || h.Governor == l.me { // nobody's, or what an earlier life of ours held
+		wait := rankGap * fleet.Time(mine)
+		if h.Governor == l.me || now >= l.looked+wait {
+			return Claim, now
+		}
+		return Stand, min(now+LookEvery, l.looked+wait)
+	}
+	s, known := l.holder[h.Epoch]
+	if !known || s.beat != h.Beat {
+		clear(l.holder)
+		s = seen{h.Beat, now}
+		l.holder[h.Epoch] = s
+	}
+	before := mine // better ranked ones, but for the holder, which is gone if this is ever over
+	if l.place(h.Governor) < mine {
+		before--
+	}
+	if wait := leaseFor + rankGap*fleet.Time(before); now >= s.at+wait {
+		return Claim, now
+	}
+	if mine < l.place(h.Governor) {
+		return Want, now + LookEvery
+	}
+	return Stand, now + LookEvery
+}
+
+// Begin begins a takeover and gives the entry to write.
+func (l *Lease) Begin(now fleet.Time, entries []Entry) Entry {
+	l.epoch, l.beat = NextEpoch(now, entries), 1
+	return l.entry()
+}
+
+func (l *Lease) entry() Entry { return Entry{Governor: l.me, Epoch: l.epoch, Beat: l.beat} }
+
+// Ask gives the entry that asks for the proxy.
+func (l *Lease) Ask() uint64 {
+	l.want++
+	return l.want
+}
+
+// Took tells, of the entries read after all other sessions were ended, whether the proxy is held from now on.
+func (l *Lease) Took(now fleet.Time, entries []Entry) bool {
+	if !Wins(l.me, l.epoch, entries) {
+		l.Drop(now)
+		return false
+	}
+	l.since = now
+	clear(l.wanting)
+	return true
+}
+
+// Next gives the entry of the next beat.
+func (l *Lease) Next() Entry {
+	l.beat++
+	return l.entry()
+}
+
+// Holding decides, of the entries read with a beat, whether a proxy that is held stays so. Moves is asked before it is handed on.
+func (l *Lease) Holding(now fleet.Time, entries []Entry, moves *Moves) Act {
+	if !Wins(l.me, l.epoch, entries) {
+		return Lost
+	}
+	for _, e := range entries {
+		if e.Want == 0 || l.place(e.Governor) >= l.place(l.me) {
+			continue
+		}
+		s, known := l.wanting[e.Governor]
+		if !known || s.beat == e.Want && now < s.at+leaseFor { // one word is none: it may be left from long ago
+			if !known {
+				l.wanting[e.Governor] = seen{e.Want, now}
+			}
+			continue
+		}
+		if s.beat == e.Want {
+			continue // it has gone since
+		}
+		l.wanting[e.Governor] = seen{e.Want, now}
+		if now >= l.since+holdLeast && moves.Take(now) {
+			return Release
+		}
+	}
+	return Keep
+}
+
+// Drop forgets a takeover that is over: the next look begins anew.
+func (l *Lease) Drop(now fleet.Time) {
+	l.epoch, l.since, l.looked = 0, 0, now
+	clear(l.holder)
+}
+
+// Epoch tells the epoch of the takeover that is made or stands, 0 for none.
+func (l *Lease) Epoch() uint64 { return l.epoch }
+
+// Moves bounds how many proxies a governor hands on.
+type Moves struct {
+	tokens float64
+	at     fleet.Time
+	Made   uint64
+}
+
+// Take takes what a move costs, if it is there.
+func (m *Moves) Take(now fleet.Time) bool {
+	if m.at == 0 {
+		m.tokens = movesBurst
+	}
+	m.tokens, m.at = min(movesBurst, m.tokens+(now-m.at).Seconds()*movesPerS), now
+	if m.tokens < 1 {
+		return false
+	}
+	m.tokens--
+	m.Made++
+	return true
+}
+
+// String prints an entry's value as it stands at proxies: EPOCH.BEAT, the epoch in base 36.
+func (e Entry) String() string {
+	return strconv.FormatUint(e.Epoch, 36) + "." + strconv.FormatUint(e.Beat, 10)
+}
+
+// ParseEntry reads the value of a governor's entry. What makes no sense holds nothing, whoever wrote it.
+func ParseEntry(governor, value string) Entry {
+	epoch, beat, ok := strings.Cut(value, ".")
+	e, err := strconv.ParseUint(epoch, 36, 64)
+	b, err2 := strconv.ParseUint(beat, 10, 64)
+	if !ok || err != nil || err2 != nil {
+		return Entry{Governor: governor}
+	}
+	return Entry{Governor: governor, Epoch: e, Beat: b}
+}
--- /dev/null
+++ b/assign/lease_test.go
@@ -0,0 +1,260 @@
+package assign
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"cressknot/fleet"
+)
+
+const sec = fleet.Second
+
+// TestRankMovesFew: of proxies over governors each gets a fair part; one that leaves moves its own proxies only, one that joins takes only
+// what becomes its own.
+func TestRankMovesFew(t *testing.T) {
+	var all []string
+	for i := range 10 {
+		all = append(all, fmt.Sprint("g", i))
+	}
+	const n = 5000
+	first := func(governors []string) map[string]string {
+		of := map[string]string{}
+		for p := range n {
+			name := fmt.Sprint("p", p)
+			of[name] = Rank(name, governors)[0]
+		}
+		return of
+	}
+	before, after := first(all), first(all[:9])
+	parts, moved := map[string]int{}, 0
+	for p, g := range before {
+		if parts[g]++; after[p] != g {
+			if moved++; g != "g9" {
+				t.Fatalf("%s moved from %s, which is there", p, g)
+			}
+		}
+	}
+	for g, k := range parts {
+		if k < n/10*8/10 || k > n/10*12/10 {
+			t.Errorf("%s has %d of %d", g, k, n)
+		}
+	}
+	if moved != parts["g9"] {
+		t.Errorf("%d moved, %d were g9's", moved, parts["g9"])
+	}
+}
+
+// world of one proxy's entries and some governors' leases, on time of its own. Sessions and takeovers go as the front makes them, at once.
+type proxy struct {
+	entries map[string]Entry
+	leases  map[string]*Lease
+	holds   map[string]bool
+	dead    map[string]bool
+	clock   map[string]fleet.Time // that a governor's own clock is ahead
+	now     fleet.Time
+	moves   Moves
+}
+
+func newProxy(governors ...string) *proxy {
+	p := &proxy{entries: map[string]Entry{}, leases: map[string]*Lease{}, holds: map[string]bool{}, dead: map[string]bool{}, clock: map[string]fleet.Time{}, now: 1000 * sec}
+	for _, g := range governors {
+		p.leases[g] = NewLease(g, "p", governors)
+	}
+	return p
+}
+
+func (p *proxy) read() (all []Entry) {
+	for _, g := range Rank("p", []string{"a", "b", "c"}) {
+		if e, is := p.entries[g]; is {
+			all = append(all, e)
+		}
+	}
+	return all
+}
+
+// tick lets a second pass for all that live.
+func (p *proxy) tick() {
+	p.now += sec
+	for _, g := range Rank("p", []string{"a", "b", "c"}) {
+		l := p.leases[g]
+		if l == nil || p.dead[g] {
+			continue
+		}
+		now := p.now + p.clock[g]
+		if p.holds[g] {
+			e := l.Next()
+			e.Want = p.entries[g].Want
+			p.entries[g] = e
+			switch l.Holding(now, p.read(), &p.moves) {
+			case Lost:
+				p.holds[g] = false
+				l.Drop(now)
+			case Release:
+				p.holds[g] = false
+				p.entries[g] = Entry{Governor: g, Want: p.entries[g].Want}
+				l.Drop(now)
+			}
+			continue
+		}
+		switch act, _ := l.Look(now, p.read()); act {
+		case Claim:
+			e := l.Begin(now, p.read())
+			e.Want = p.entries[g].Want
+			p.entries[g] = e
+			for other := range p.holds { // their sessions end
+				if other != g && p.holds[other] {
+					p.holds[other] = false
+					if !p.dead[other] {
+						p.leases[other].Drop(now)
+					}
+				}
+			}
+			p.holds[g] = l.Took(now, p.read())
+		case Want:
+			e := p.entries[g]
+			e.Governor, e.Want = g, l.Ask()
+			p.entries[g] = e
+		}
+	}
+}
+
+func (p *proxy) holder() (who string) {
+	for g, is := range p.holds {
+		if is && !p.dead[g] {
+			who += g
+		}
+	}
+	return who
+}
+
+// TestWhoHolds: the best ranked takes a proxy first; when it dies the next one does within its time; when it is back it asks and is given
+// it, but not before it has been held for a while, and not by one word left from long ago; clocks that differ by an hour change nothing.
+func TestWhoHolds(t *testing.T) {
+	r := Rank("p", []string{"a", "b", "c"})
+	p := newProxy("a", "b", "c")
+	p.clock[r[1]], p.clock[r[2]] = 3600*sec, -3600*sec
+	until := func(want string, most int) {
+		t.Helper()
+		for i := 0; p.holder() != want; i++ {
+			if i >= most {
+				t.Fatalf("%q holds after %d s, not %s", p.holder(), most, want)
+			}
+			p.tick()
+		}
+	}
+	until(r[0], 1)
+	for range 30 {
+		if p.tick(); p.holder() != r[0] {
+			t.Fatalf("%q holds", p.holder())
+		}
+	}
+	p.dead[r[0]] = true
+	died := p.now
+	until(r[1], 8)
+	if after := p.now - died; after < leaseFor {
+		t.Errorf("taken after %.0f s, when its beats may only have been late", after.Seconds())
+	}
+	p.dead[r[0]], p.holds[r[0]] = false, false // a new life: what it held is taken
+	p.leases[r[0]] = NewLease(r[0], "p", r)
+	took := p.now
+	until(r[0], 16)
+	if p.now-took < holdLeast-sec {
+		t.Errorf("handed on after %.0f s", (p.now - took).Seconds())
+	}
+	p.dead[r[0]], p.dead[r[1]] = true, true
+	until(r[2], 12)
+	p.entries[r[0]] = Entry{Governor: r[0], Want: 77} // one word, and gone
+	for range 30 {
+		if p.tick(); p.holder() != r[2] {
+			t.Fatalf("%q holds: handed on to one that is gone", p.holder())
+		}
+	}
+}
+
+// TestRandomLives: whoever dies, stands still and comes back when, never do two hold; somebody does within a bound when somebody lives.
+func TestRandomLives(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newProxy("a", "b", "c")
+		without := 0
+		for range rapid.IntRange(5, 120).Draw(t, "seconds") {
+			g := []string{"a", "b", "c"}[rapid.IntRange(0, 2).Draw(t, "who")]
+			switch rapid.IntRange(0, 8).Draw(t, "what") {
+			case 0:
+				p.dead[g] = true
+			case 1: // stood still, and goes on as it was
+				p.dead[g] = false
+			case 2: // a new life
+				p.dead[g], p.holds[g] = false, false
+				p.leases[g] = NewLease(g, "p", []string{"a", "b", "c"})
+			case 3:
+				p.entries = map[string]Entry{} // the proxy restarted
+				for g := range p.holds {
+					if p.holds[g] {
+						p.holds[g] = false
+						p.leases[g].Drop(p.now + p.clock[g])
+					}
+				}
+			}
+			p.tick()
+			if len(p.holder()) > 1 {
+				t.Fatalf("%s hold", p.holder())
+			}
+			if without++; p.holder() != "" || p.dead["a"] && p.dead["b"] && p.dead["c"] {
+				without = 0
+			}
+		}
+		for g := range p.dead {
+			p.dead[g] = false
+		}
+		for i := 0; p.holder() == ""; i++ {
+			if p.tick(); i > 12 {
+				t.Fatal("nobody holds")
+			}
+		}
+	})
+}
+
+// TestMoves: no more are handed on a second than a channel bears.
+func TestMoves(t *testing.T) {
+	m, now := Moves{}, 10*sec
+	for range 10 {
+		for range 1000 {
+			m.Take(now)
+		}
+		now += sec
+	}
+	if m.Made > movesBurst+9*movesPerS+1 || m.Made < 9*movesPerS {
+		t.Errorf("%d moves in ten seconds", m.Made)
+	}
+}
+
+// TestEntries: what is printed is read; what makes no sense holds nothing.
+func TestEntries(t *testing.T) {
+	e := Entry{Governor: "g", Epoch: 1 << 60, Beat: 9}
+	if got := ParseEntry("g", e.String()); got != e {
+		t.Errorf("%+v", got)
+	}
+	for _, text := range []string{"", "1", "x.y", "-1.2", "zzzzzzzzzzzzzzzzz.1"} {
+		if got := ParseEntry("g", text); got.Epoch != 0 {
+			t.Errorf("%q: %+v", text, got)
+		}
+	}
+}
+
+// BenchmarkRank ranks 10,000 proxies over 30 governors.
+func BenchmarkRank(b *testing.B) {
+	var governors, proxies []string
+	for i := range 30 {
+		governors = append(governors, fmt.Sprint("governor-", i))
+	}
+	for i := range 10_000 {
+		proxies = append(proxies, fmt.Sprint("proxy-", i))
+	}
+	for b.Loop() {
+		for _, p := range proxies {
+			Rank(p, governors)
+		}
+	}
+}
--- a/config/config.go
+++ b/config/config.go
@@ -125,6 +125,9 @@
 		Whole      float64 `json:"whole"`
 		WorstClass float64 `json:"worstClass"`
 	} `json:"goal"`
+	Sharing struct {
+		Governors []string `json:"governors"`
+	} `json:"sharing"`
 	Service struct {
 		RPC    string  `json:"rpc"`
 		Text   string  `json:"text"`
@@ -378,6 +381,17 @@
 	if s.Reports.Load == "pushed" && s.Reports.Listen == "" {
 		bad("reports.listen", "is needed where load figures are pushed")
 	}
+	if n := len(s.Sharing.Governors); n > 0 {
+		if !slices.Contains(s.Sharing.Governors, s.Name) {
+			bad("sharing.governors", "does not name this governor, %q", s.Name)
+		}
+		if s.Front.Kind != "runtime" {
+			bad("sharing.governors", "governors agree at runtime sockets; front.kind is %q", s.Front.Kind)
+		}
+		if len(slices.Compact(slices.Sorted(slices.Values(s.Sharing.Governors)))) < n {
+			bad("sharing.governors", "names one twice")
+		}
+	}
 	if s.Serves() && s.Front.Admission == "rate" {
 		bad("front.admission", "is a rate at each proxy; the programs that the service serves are many in place of one: use \"share\" or \"all\"")
 	}
@@ -481,7 +495,7 @@
 		{"zones", a.Zones, b.Zones}, {"zone", a.Zone, b.Zone}, {"kinds", a.Kinds, b.Kinds}, {"classes", a.Classes, b.Classes},
 		{"proxies", a.Proxies, b.Proxies}, {"list", a.List, b.List}, {"front", a.Front, b.Front},
 		{"channel", a.Channel, b.Channel}, {"reports", a.Reports, b.Reports}, {"servers", a.Servers, b.Servers},
-		{"goal", a.Goal, b.Goal}, {"guard", a.Guard, b.Guard}, {"faults", a.Faults, b.Faults}, {"operators", a.Operators, b.Operators}, {"store", a.Store, b.Store}, {"service", a.Service, b.Service}} {
+		{"goal", a.Goal, b.Goal}, {"guard", a.Guard, b.Guard}, {"faults", a.Faults, b.Faults}, {"operators", a.Operators, b.Operators}, {"store", a.Store, b.Store}, {"service", a.Service, b.Service}, {"sharing", a.Sharing, b.Sharing}} {
 		if fmt.Sprint(f.a) != fmt.Sprint(f.b) {
 			fields = append(fields, f.name)
 		}
--- a/config/schema.cue
+++ b/config/schema.cue
@@ -107,6 +107,8 @@
 		file:   string | *""                    // "": standard error
 	}
 
+	sharing: governors: [...#Name] | *[] // all that may serve the proxies named here, this one too; empty: this one alone
+
 	service: {
 		rpc:    string | *""                    // host:port where programs ask over gRPC, "" for none
 		text:   string | *""                    // the same over the text protocol: host:port, or a Unix socket of mode 0600
--- a/front/haproxy/front.go
+++ b/front/haproxy/front.go
@@ -17,6 +17,7 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 
+	"cressknot/assign"
 	"cressknot/fleet"
 	"cressknot/front"
 	"cressknot/steer"
@@ -31,6 +32,11 @@
 	Admission fleet.Admission
 	Names     front.Names
 	Pollers   int // event loops of sockets; 0: the library's own choice
+
+	// Where several governors may serve a proxy: this one's name and its part of the protocol by which they agree at the proxy.
+	Me    string
+	Lease func(front.Proxy) *assign.Lease // nil: no other governor does
+	Clock func() fleet.Time
 }
 
 // Front is the front over runtime sockets.
@@ -47,6 +53,8 @@
 	streams      atomic.Uint64
 	answerWithin time.Duration // steer.AnswerWithin, but in tests
 	stopping     atomic.Bool
+	moving       sync.Mutex
+	moves        assign.Moves
 }
 
 var _ front.Front = (*Front)(nil)
@@ -58,6 +66,10 @@
 	redial steer.Redial // of the dialing goroutine only
 	stood  atomic.Bool  // the last session could be read back
 
+	leasing sync.Mutex
+	lease   *assign.Lease // nil: no other governor serves the proxy
+	ending  []string      // sessions there that the next session ends, as it takes the proxy over
+
 	mu      sync.Mutex
 	current *session
 	kick    chan struct{} // the session is over
@@ -73,6 +85,9 @@
 	for _, p := range opt.Proxies {
 		f.links[p.ID] = &link{front: f, proxy: p, kick: make(chan struct{}, 1),
 			redial: steer.NewRedial(maphash.String(maphash.MakeSeed(), p.Name))}
+		if opt.Lease != nil {
+			f.links[p.ID].lease = opt.Lease(p)
+		}
 	}
 	return f
 }
@@ -130,7 +145,7 @@
 	for f.ctx.Err() == nil {
 		conn, err := dialer.DialContext(f.ctx, network(l.proxy.Addr), l.proxy.Addr)
 		if err == nil {
-			err = l.open(conn)
+			err = l.open(conn, nil)
 		}
 		if err == nil {
 			select {
@@ -153,14 +168,14 @@
 	}
 }
 
-// open begins a session on a new connection.
-func (l *link) open(conn net.Conn) error {
+// open begins a session on a new connection; with one before it, whose takeover it completes.
+func (l *link) open(conn net.Conn, before *session) error {
 	c, err := nbio.NBConn(conn)
 	if err != nil {
 		conn.Close()
 		return fmt.Errorf("proxy %s: %w", l.proxy.Name, err)
 	}
-	s := &session{link: l, conn: c, stream: l.front.streams.Add(1), keys: map[string]bool{}}
+	s := &session{link: l, conn: c, stream: l.front.streams.Add(1), keys: map[string]bool{}, before: before}
 	l.front.sessions.Store(c, s)
 	l.mu.Lock()
 	l.current = s
@@ -213,6 +228,12 @@
 	front.Settle(ctx, f.busy)
 	f.cancel()
 	f.dials.Wait()
+	for id, l := range f.links {
+		if s := f.session(id); s != nil && l.lease != nil && ctx.Err() == nil {
+			s.handOn() // another one need not wait for the lease to end
+		}
+	}
+	front.Settle(ctx, f.busy)
 	for id := range f.links {
 		f.Drop(id)
 	}
--- a/front/haproxy/session.go
+++ b/front/haproxy/session.go
@@ -30,6 +30,13 @@
 	toStat
 	toTable
 	toChange
+	toShut    // the end of another session
+	toLook    // entries of governors, before anything is taken over
+	toBid     // our entry, written
+	toRivals  // the sessions there are
+	toEntries // entries of governors, with a beat
+	toBeat
+	toHandOn // our entry, taken away
 )
 
 // expectation is one answer that is to come.
@@ -59,6 +66,11 @@
 	out      []byte
 	watchdog *time.Timer
 	why      error
+
+	before  *session // that began the takeover which this one completes
+	looking bool     // steers nothing yet
+	again   *time.Timer
+	handing bool // hands the proxy on: sends nothing more
 }
 
 const (
@@ -70,10 +82,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.watchdog = time.AfterFunc(s.link.front.answerWithin, s.late)
-	s.out = append(s.out[:0], "prompt\nshow info\nshow servers state\n"...)
+	s.out = append(s.out[:0], "prompt\nshow info\n"...)
+	s.expect = append(s.expect, expectation{what: toPrompt}, expectation{what: toInfo})
+	switch {
+	case s.link.lease == nil:
+	case s.before == nil:
+		s.looking = true
+		s.look()
+		s.flush()
+		return
+	default:
+		s.complete()
+	}
+	s.out = append(s.out, "show servers state\n"...)
 	s.out = append(runtimeapi.AppendCommand(s.out, "show", "map", s.link.front.opt.Map), '\n')
-	s.expect = append(s.expect, expectation{what: toPrompt}, expectation{what: toInfo}, expectation{what: toState},
-		expectation{what: toMap})
+	s.expect = append(s.expect, expectation{what: toState}, expectation{what: toMap})
 	s.held = steer.Snapshot{Zone: s.link.proxy.Zone, Weight: s.link.proxy.Visits, Fresh: true,
 		Levels: make([]steer.Level, len(s.link.front.opt.Classes)), Stamps: make([]string, len(s.link.front.opt.Classes))}
 	s.flush()
@@ -108,6 +131,9 @@
 	}
 	s.over = true
 	s.watchdog.Stop()
+	if s.again != nil {
+		s.again.Stop()
+	}
 	if s.why != nil {
 		err = s.why
 	}
@@ -115,16 +141,22 @@
 	s.mu.Unlock()
 	l := s.link
 	l.mu.Lock()
-	if l.current == s {
+	taken := l.current != s // by a session that completes what this one began
+	if !taken {
 		l.current = nil
 	}
 	l.mu.Unlock()
+	if s.looking && taken {
+		return
+	}
+	l.over()
 	if err == nil {
 		err = net.ErrClosed
 	}
-	if up {
+	switch {
+	case up:
 		l.front.sink(front.Down{Proxy: l.proxy.ID, Stream: s.stream, Why: err})
-	} else {
+	case !errors.Is(err, errLost):
 		l.front.sink(front.Unreached{Proxy: l.proxy.ID, Why: err})
 	}
 	select {
@@ -137,7 +169,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, e := range s.expect {
-		if e.what == toChange {
+		if e.what == toChange || e.what == toHandOn {
 			return true
 		}
 	}
@@ -225,6 +257,9 @@
 		if err != nil {
 			return nil, wrap("show map", err)
 		}
+		if err := s.took(text); err != nil {
+			return nil, err
+		}
 		s.up = true
 		s.link.stood.Store(true)
 		return front.Up{Proxy: id, Stream: s.stream, Held: s.held}, nil
@@ -239,6 +274,8 @@
 			return nil, wrap("show table", err)
 		}
 		return s.polled(), nil
+	case toShut, toLook, toBid, toRivals, toEntries, toBeat, toHandOn:
+		return s.takeLease(e, text)
 	}
 	if f, ok := fault(text); !ok {
 		s.failures = append(s.failures, steer.Failure{Index: e.index, Fault: f, Text: string(bytes.TrimSpace(text))})
@@ -329,12 +366,13 @@
 func (s *session) poll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.up || s.over || s.polling {
+	if !s.up || s.over || s.polling || s.handing {
 		return
 	}
 	s.polling = true
 	s.arm()
-	s.out = append(s.out[:0], "show stat\n"...)
+	s.out = s.beat(s.out[:0])
+	s.out = append(s.out, "show stat\n"...)
 	s.expect = append(s.expect, expectation{what: toStat})
 	if t := s.link.front.opt.Table; t != "" {
 		s.out = append(runtimeapi.AppendCommand(s.out, "show", "table", t), '\n')
@@ -353,7 +391,7 @@
 func (s *session) send(m steer.Message) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.up || s.over {
+	if !s.up || s.over || s.handing {
 		return
 	}
 	s.arm()
--- a/internal/drill/day.cue
+++ b/internal/drill/day.cue
@@ -35,6 +35,7 @@
 	nodes:     int & >=1 & <=400
 	proxies:   int & >=1 & <=400
 	governors: int & >=1 & <=16 | *1
+	sharing:   bool | *false // all governors may serve all proxies, and agree at them
 	libraries: int & >=0 & <=400 | *0 // programs that send visits themselves, by the client libraries in turn
 	visits:    number & >0 // a second, all proxies together
 	front:     *"runtime" | "files"
--- a/internal/drill/day.go
+++ b/internal/drill/day.go
@@ -49,6 +49,7 @@
 	Proxies   int      `json:"proxies"`
 	Governors int      `json:"governors"`
 	Libraries int      `json:"libraries"`
+	Sharing   bool     `json:"sharing"`
 	Visits    float64  `json:"visits"`
 	Front     string   `json:"front"`
 	Admission string   `json:"admission"`
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -251,7 +251,7 @@
 			"expected": span(c.Expected), "hardStop": span(c.HardStop), "value": c.Value})
 	}
 	for i, x := range p.proxies {
-		if p.ownerOf[i] == g {
+		if p.ownerOf[i] == g || d.Sharing {
 			addr := x.Runtime
 			if x.Folder != "" {
 				addr = x.Folder
@@ -275,6 +275,13 @@
 	if d.Store {
 		s["store"] = map[string]any{"folder": filepath.Join(p.dir, own.name+".store")}
 	}
+	if d.Sharing {
+		var all []string
+		for _, o := range p.governors {
+			all = append(all, o.name)
+		}
+		s["sharing"] = map[string]any{"governors": all}
+	}
 	if d.Libraries > 0 {
 		var err error
 		if own.rpc, err = freePort(); err != nil {
@@ -563,6 +570,11 @@
 	r.Length = time.Duration(d.Length).Seconds()
 	r.Classes = p.tally.classes(d)
 	slices.Sort(r.Backs)
+	if d.Sharing {
+		for _, gap := range p.watch.Unattended() {
+			r.Unattended = append(r.Unattended, gap.Seconds())
+		}
+	}
 	r.Versions = map[string]int{}
 	for _, x := range p.proxies {
 		r.Versions[x.Level(d.Classes[0].Name+".version")]++
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -214,6 +214,27 @@
 	}
 }
 
+// TestGovernorsShareProxies plays a day of three governors that may all serve all proxies, one killed and one standing still past its lease:
+// the rules are kept, and no proxy follows a governor after a later one.
+func TestGovernorsShareProxies(t *testing.T) {
+	r := playDay(t, "sharing", func(o *Options) {
+		o.Day.Length = Span(30 * time.Second)
+		o.Day.Nodes, o.Day.Proxies, o.Day.Visits = 8, 8, 80
+		o.Day.Troubles = []Trouble{{At: Span(8 * time.Second), For: Span(8 * time.Second), What: "governor-kill"}, {At: Span(10 * time.Second), For: Span(4 * time.Second), What: "crash"},
+			{At: Span(18 * time.Second), For: Span(8 * time.Second), What: "governor-stall", Size: 8000, Every: Span(20 * time.Second)}}
+	})
+	one := false
+	for _, v := range r.Rules {
+		if len(v.Breaks) > 0 {
+			t.Errorf("%s: %v", v.Rule, v.Breaks)
+		}
+		one = one || v.Rule == rules.RuleOne && v.Tried > 0
+	}
+	if !one || len(r.Troubles) > 0 {
+		t.Errorf("judged %v, %v", one, r.Troubles)
+	}
+}
+
 // kills of a governor that TestKills plays: -kills 100 for the whole.
 var kills = flag.Int("kills", 10, "kills of a governor to play")
 
--- a/internal/drill/report.go
+++ b/internal/drill/report.go
@@ -25,10 +25,11 @@
 	Weights                    []Weights       `json:"weights"`
 	Governors                  []Governor      `json:"governors"`
 	Falls                      Falls           `json:"falls"`
-	Flood                      [3]int64        `json:"flood,omitempty"`     // reports nobody asked for: taken, refused, lost
-	Mutes                      []float64       `json:"mutes_s,omitempty"`   // from a reporter's end until a governor told it from a death
-	Unnoticed                  int             `json:"unnoticed,omitempty"` // those that it did not
-	Backs                      []float64       `json:"backs_s,omitempty"`   // from a way back until a proxy held it, sorted
+	Flood                      [3]int64        `json:"flood,omitempty"`        // reports nobody asked for: taken, refused, lost
+	Mutes                      []float64       `json:"mutes_s,omitempty"`      // from a reporter's end until a governor told it from a death
+	Unnoticed                  int             `json:"unnoticed,omitempty"`    // those that it did not
+	Backs                      []float64       `json:"backs_s,omitempty"`      // from a way back until a proxy held it, sorted
+	Unattended                 []float64       `json:"unattended_s,omitempty"` // proxies without a governor's session between two, sorted
 	Libraries                  []LibraryRow    `json:"libraries,omitempty"`
 	Dark                       *Dark           `json:"dark,omitempty"`
 	Versions                   map[string]int  `json:"versions"` // of the first class's tables that proxies ended on
@@ -220,6 +221,10 @@
 				g.Info["Tries_told"], g.Info["Tries_waiting"], g.Info["Tries_aged"], g.Info["Tries_unheard"], g.Info["Deadlines_missed"])
 		}
 	}
+	if n := len(r.Unattended); n > 0 {
+		fmt.Fprintf(out, "proxies without a governor between two sessions: p50 %.3f s, p99 %.3f s, most %.3f s; %d times\n",
+			quantile(r.Unattended, 0.5), quantile(r.Unattended, 0.99), r.Unattended[n-1], n)
+	}
 	for _, l := range r.Libraries {
 		fmt.Fprintf(out, "%s over %s: %d visits, %.3f tries each, %d further ones kept back; followed %d times, %.1f s without\n", l.Name, l.Over, l.Visits,
 			float64(l.Tries)/float64(max(1, l.Visits)), l.Denied, l.Follows, l.Without)
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -95,7 +95,10 @@
 type Watch struct {
 	start    time.Time
 	mu       sync.Mutex
-	owner    map[string]string // governor of a proxy
+	owners   map[string][]ownership // of a proxy, in time
+	epochs   map[string]uint64      // of the latest governor whose command a proxy followed
+	orders   int
+	mixed    []Break // commands of a governor after those of a later one
 	bare     []bareSpan
 	open     map[[2]string]int // index of the bare span that lasts
 	sessions []session
@@ -112,7 +115,7 @@
 
 // NewWatch begins a watch.
 func NewWatch() *Watch {
-	return &Watch{start: time.Now(), owner: map[string]string{}, open: map[[2]string]int{}, live: map[string]int{},
+	return &Watch{start: time.Now(), owners: map[string][]ownership{}, epochs: map[string]uint64{}, open: map[[2]string]int{}, live: map[string]int{},
 		told: map[[2]string]telling{}}
 }
 
@@ -121,10 +124,36 @@
 // Owner says which governor serves a proxy.
 func (w *Watch) Owner(proxy, governor string) {
 	w.mu.Lock()
-	w.owner[proxy] = governor
+	w.owners[proxy] = append(w.owners[proxy], ownership{w.now(), governor})
 	w.mu.Unlock()
 }
 
+type ownership struct {
+	at       time.Duration
+	governor string
+}
+
+// owner gives the governor that served a proxy at a time.
+func (w *Watch) owner(proxy string, at time.Duration) (governor string) {
+	for i, o := range w.owners[proxy] {
+		if i == 0 || o.at <= at {
+			governor = o.governor
+		}
+	}
+	return governor
+}
+
+// Ordered tells that a proxy followed a command of a governor that serves it since an epoch, where several could.
+func (w *Watch) Ordered(proxy, governor string, epoch uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.orders++
+	if last := w.epochs[proxy]; epoch < last {
+		w.mixed = append(w.mixed, Break{RuleOne, w.now(), fmt.Sprintf("proxy %s followed governor %s of epoch %d after one of epoch %d", proxy, governor, epoch, last)})
+	}
+	w.epochs[proxy] = max(w.epochs[proxy], epoch)
+}
+
 // Lines tells whether a proxy has a line to pick for a class now.
 func (w *Watch) Lines(proxy, class string, any bool) {
 	w.mu.Lock()
@@ -165,6 +194,21 @@
 	}
 }
 
+// Unattended gives how long proxies were without a governor's session between two, sorted.
+func (w *Watch) Unattended() (gaps []time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	last := map[string]time.Duration{}
+	for _, s := range w.sessions {
+		if to, was := last[s.proxy]; was && to > 0 {
+			gaps = append(gaps, s.from-to)
+		}
+		last[s.proxy] = s.to
+	}
+	slices.Sort(gaps)
+	return gaps
+}
+
 // Message tells of the lines of one message that a proxy read.
 func (w *Watch) Message(proxy string, lines int) {
 	w.mu.Lock()
@@ -214,7 +258,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, t := range w.tellings {
-		if t.governor == w.owner[proxy] && t.node == node && t.state != "ready" && t.at >= since.Sub(w.start) {
+		if t.governor == w.owner(proxy, t.at) && t.node == node && t.state != "ready" && t.at >= since.Sub(w.start) {
 			return w.start.Add(t.at), true
 		}
 	}
@@ -250,13 +294,18 @@
 	RuleDrain = "drains kept"
 	RuleCold  = "no cold server pushed over"
 	RuleQueue = "a short queue"
+	RuleOne   = "one governor at a time" // judged where several may serve a proxy
 )
 
 // Judge judges what was seen until now.
 func (w *Watch) Judge(f Figures) []Verdict {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return []Verdict{w.judgeBare(f), w.judgeTwice(f), w.judgeDrain(f), w.judgeCold(f), w.judgeQueue(f)}
+	all := []Verdict{w.judgeBare(f), w.judgeTwice(f), w.judgeDrain(f), w.judgeCold(f), w.judgeQueue(f)}
+	if w.orders > 0 {
+		all = append(all, Verdict{Rule: RuleOne, Tried: w.orders, Breaks: w.mixed, Seen: fmt.Sprintf("%d commands at %d proxies", w.orders, len(w.epochs))})
+	}
+	return all
 }
 
 // history gives what a governor was told of a node, in order.
@@ -318,7 +367,7 @@
 			if until <= from {
 				continue
 			}
-			lacked := w.warmReady(w.owner[b.proxy], from, until, f)
+			lacked := w.warmReady(w.owner(b.proxy, from), from, until, f)
 			if lacked > most {
 				most, where = lacked, fmt.Sprintf(" (%s, %s, at %.2f s)", b.proxy, b.class, from.Seconds())
 			}
@@ -399,7 +448,7 @@
 	}
 	latest := time.Duration(0)
 	for _, a := range w.arrivals {
-		for _, sp := range shut[[2]string{w.owner[a.proxy], a.node}] {
+		for _, sp := range shut[[2]string{w.owner(a.proxy, a.at), a.node}] {
 			if a.at < sp.from || a.at >= cmp.Or(sp.to, end) {
 				continue
 			}
@@ -432,7 +481,7 @@
 					last = m.at
 				}
 			}
-			for _, t := range w.history(w.owner[proxy], fall.node) {
+			for _, t := range w.history(w.owner(proxy, fall.at), fall.node) {
 				if t.cold && t.started >= fall.start-time.Millisecond && (t.at+f.Grace <= fall.at || last > t.at) {
 					knowing += work
 					break
@@ -454,7 +503,8 @@
 	v := Verdict{Rule: RuleQueue, Tried: len(w.messages)}
 	by, each := map[string][]message{}, map[string][]message{}
 	for _, m := range w.messages {
-		by[w.owner[m.proxy]] = append(by[w.owner[m.proxy]], m)
+		governor := w.owner(m.proxy, m.at)
+		by[governor] = append(by[governor], m)
 		each[m.proxy] = append(each[m.proxy], m)
 	}
 	longest := 0.0
--- a/internal/standin/proxy.go
+++ b/internal/standin/proxy.go
@@ -85,7 +85,8 @@
 	nextID   int
 	lister   net.Listener
 	visits   *http.Server
-	conns    map[net.Conn]bool
+	conns    map[net.Conn]*control
+	controls uint64
 	slowRead time.Duration
 	files    filesState
 	late     time.Duration
@@ -128,7 +129,7 @@
 	}
 	p.lister, p.started = l, time.Now()
 	p.backends, p.totals, p.levels, p.order = map[string][]*line{}, map[string]*runtimeapi.Stat{}, map[string]string{}, nil
-	p.tracked, p.tracks, p.conns = map[string]*runtimeapi.Tracked{}, nil, map[net.Conn]bool{}
+	p.tracked, p.tracks, p.conns = map[string]*runtimeapi.Tracked{}, nil, map[net.Conn]*control{}
 	for _, c := range p.Classes {
 		p.totals[c.Backend] = &runtimeapi.Stat{Proxy: []byte(c.Backend), Server: []byte("BACKEND")}
 		for _, e := range p.standing {
@@ -234,7 +235,7 @@
 
 // ByHand carries out a command as staff would at the proxy itself.
 func (p *Proxy) ByHand(words ...string) string {
-	return string(p.command(runtimeapi.Command{Words: words}, map[string]bool{}))
+	return string(p.command(runtimeapi.Command{Words: words}, map[string]bool{}, &control{}))
 }
 
 // ReportLate lets it show counters as they were so long ago; 0: no more.
@@ -290,14 +291,37 @@
 			c.Close()
 			return
 		}
-		p.conns[c] = true
+		p.controls++
+		of := &control{id: fmt.Sprintf("0x%08x", p.controls), conn: c, since: time.Now()}
+		p.conns[c] = of
 		p.mu.Unlock()
-		go p.talk(c)
+		go p.talk(c, of)
+	}
+}
+
+// control is one session of the runtime socket.
+type control struct {
+	id       string
+	conn     net.Conn
+	since    time.Time
+	calls    int
+	ended    bool   // by "shutdown session"
+	steers   bool   // it has read back what the proxy holds
+	governor string // whose entry it wrote last, and the epoch there
+	epoch    uint64
+}
+
+// lease notes whose session it is that writes a governor's entry.
+func (c *control) lease(key, value string) {
+	if g, is := strings.CutPrefix(key, "cressknot.lease."); is {
+		epoch, _, _ := strings.Cut(value, ".")
+		c.governor = g
+		c.epoch, _ = strconv.ParseUint(epoch, 36, 64)
 	}
 }
 
 // talk answers one runtime session.
-func (p *Proxy) talk(c net.Conn) {
+func (p *Proxy) talk(c net.Conn, of *control) {
 	joined := false
 	touched := map[string]bool{}
 	defer func() {
@@ -317,7 +341,7 @@
 		slow := p.slowRead
 		p.mu.Unlock()
 		time.Sleep(slow)
-		return p.command(cmd, touched)
+		return p.command(cmd, touched, of)
 	}}
 	buffer := make([]byte, 1<<16)
 	read := 0
@@ -351,8 +375,10 @@
 		if _, err := c.Write(reply); err != nil || done {
 			return
 		}
-		if !joined && bytes.Contains(buffer[:n], []byte("show map")) {
-			joined = true
+		if !joined && of.steers && bytes.Contains(buffer[:n], []byte("show map")) {
+			if joined = true; of.governor != "" {
+				p.watch.Owner(p.Name, of.governor)
+			}
 			p.watch.Joined(p.Name)
 		}
 	}
@@ -377,10 +403,13 @@
 }
 
 // command answers one command, under the specification's rules.
-func (p *Proxy) command(c runtimeapi.Command, touched map[string]bool) []byte {
+func (p *Proxy) command(c runtimeapi.Command, touched map[string]bool, of *control) []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	words := c.Words
+	if of.calls++; of.ended { // what it had sent before it was ended is not followed
+		return nil
+	}
 	if words[0] != "show" && words[0] != "get" {
 		p.log = append(p.log, strings.Join(words, " "))
 		p.log = p.log[max(0, len(p.log)-logMost):]
@@ -395,6 +424,9 @@
 	changes := func(target string) {
 		_, server, _ := strings.Cut(target, "/")
 		touched[server] = true
+		if of.governor != "" {
+			p.watch.Ordered(p.Name, of.governor, of.epoch)
+		}
 		if now := time.Now(); p.stall.Before(now) {
 			p.stall = now
 		}
@@ -406,7 +438,23 @@
 			int(time.Since(p.started).Seconds()), p.started.Unix())
 	case is("show", "stat"):
 		return p.shown("stat", p.stat())
+	case is("show", "sess") && len(words) == 0:
+		var out []byte
+		for _, s := range p.conns {
+			out = fmt.Appendf(out, "%s: proto=unix_stream src=unix:1 fe=GLOBAL be=<NONE> srv=<none> ts=00 epoch=0 age=%ds calls=%d\n", s.id, int(time.Since(s.since).Seconds()), s.calls)
+		}
+		return fmt.Appendf(out, "0x0fffffff: proto=tcpv4 src=127.0.0.1:5 fe=visits be=%s srv=none ts=00 age=1s calls=1\n", p.Classes[0].Backend)
+	case is("shutdown", "session") && len(words) == 1:
+		for conn, s := range p.conns {
+			if s.id == words[0] {
+				s.ended = true
+				conn.Close()
+				return nil
+			}
+		}
+		return []byte("No such session (use 'show sess').\n")
 	case is("show", "servers", "state"):
+		of.steers = true
 		out := runtimeapi.AppendServersStateHeader(nil)
 		for i, class := range p.Classes {
 			for _, l := range p.backends[class.Backend] {
@@ -447,6 +495,7 @@
 			p.order = append(p.order, words[1])
 		}
 		p.levels[words[1]] = words[2]
+		of.lease(words[1], words[2])
 		return nil
 	case is("del", "map") && len(words) == 2:
 		if _, known := p.levels[words[1]]; !known {
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -16,6 +16,7 @@
 
 	"github.com/rs/zerolog"
 
+	"cressknot/assign"
 	"cressknot/boot"
 	"cressknot/config"
 	"cressknot/fleet"
@@ -333,8 +334,12 @@
 
 func frontOf(s *config.Settings, site fleet.Site, proxies []front.Proxy, names *governor.Names) front.Front {
 	if s.Front.Kind == "runtime" {
-		return haproxy.New(haproxy.Options{Proxies: proxies, Classes: s.Backends(), Map: s.Front.Map,
-			Table: s.Front.Table, Admission: site.Admission, Names: names})
+		o := haproxy.Options{Proxies: proxies, Classes: s.Backends(), Map: s.Front.Map, Table: s.Front.Table, Admission: site.Admission, Names: names,
+			Me: s.Name, Clock: func() fleet.Time { return fleet.Time(time.Now().UnixNano()) }}
+		if len(s.Sharing.Governors) > 0 {
+			o.Lease = func(p front.Proxy) *assign.Lease { return assign.NewLease(s.Name, p.Name, s.Sharing.Governors) }
+		}
+		return haproxy.New(o)
 	}
 	return files.New(files.Options{Proxies: proxies, Classes: s.Backends(), Admission: site.Admission, Names: names})
 }
