--- a/assign/assign.go
+++ b/assign/assign.go
@@ -31,6 +31,7 @@
 	Epoch    uint64 // of its takeover; 0: it holds nothing
 	Beat     uint64
 	Want     uint64 // its beat of asking for the proxy; 0: it doesn't
+	Retired  bool   // it holds the proxy only as nobody else took it
 }
 
 // Rank orders governors for a proxy, the one that should serve it first: by the highest of hashes of both names, so that a governor that
@@ -84,22 +85,42 @@
 // Lease is one governor's part of the protocol at one proxy.
 type Lease struct {
 	me      string
-	rank    []string // those that may serve it, the first one first
-	looked  fleet.Time
+	rank    []string        // those that may serve it, the first one first
+	free    fleet.Time      // since when nobody is seen to hold it, 0: somebody is
 	holder  map[uint64]seen // by epoch: the beat seen last
-	wanting map[string]seen
+	wanting map[string]uint64
 	epoch   uint64 // of the takeover that is made or stands
 	since   fleet.Time
 	beat    uint64
 	want    uint64
+	retired bool
+	handing bool       // what is held is handed on, whether anybody asks or not
+	last    Entry      // that held when entries were read last
+	lastAt  fleet.Time // when its beat was seen to move
 }
 
 // NewLease makes a governor's part; governors are all that may serve the proxy.
 func NewLease(me, proxy string, governors []string) *Lease {
-	return &Lease{me: me, rank: Rank(proxy, governors), holder: map[uint64]seen{}, wanting: map[string]seen{}}
+	return &Lease{me: me, rank: Rank(proxy, governors), holder: map[uint64]seen{}, wanting: map[string]uint64{}}
+}
+
+// Retire lets a governor hand on all that it holds and take nothing that another one would, or ends that. What nobody else takes it
+// takes still, and holds until somebody asks.
+func (l *Lease) Retire(on bool) { l.retired, l.handing = on, on && l.since > 0 }
+
+// Seen tells who held the proxy when its entries were read last, and when that one's beat was seen to move.
+func (l *Lease) Seen() (holder Entry, moved fleet.Time) { return l.last, l.lastAt }
+
+func (l *Lease) see(now fleet.Time, entries []Entry) {
+	if h := Holder(entries); h != l.last {
+		l.last, l.lastAt = h, now
+	}
 }
 
 func (l *Lease) place(governor string) int {
+	if l.retired && governor == l.me {
+		return len(l.rank)
+	}
 	if at := slices.Index(l.rank, governor); at >= 0 {
 		return at
 	}
@@ -108,17 +129,17 @@
 
 // Look decides, of the entries that were read, what to do about a proxy that is not held, and when to look again.
 func (l *Lease) Look(now fleet.Time, entries []Entry) (act Act, again fleet.Time) {
-	if l.looked == 0 {
-		l.looked = now
-	}
+	l.see(now, entries)
 	h, mine := Holder(entries), l.place(l.me)
 	if h.Epoch == 0 || h.Governor == l.me { // nobody's, or what an earlier life of ours held
-		wait := rankGap * fleet.Time(mine)
-		if h.Governor == l.me || now >= l.looked+wait {
+		l.free = cmp.Or(l.free, now)
+		wait := rankGap * fleet.Time(mine) // better ranked ones come first, who may look a while later
+		if h.Governor == l.me && !l.retired || now >= l.free+wait {
 			return Claim, now
 		}
-		return Stand, min(now+LookEvery, l.looked+wait)
+		return Stand, min(now+LookEvery, l.free+wait)
 	}
+	l.free = 0
 	s, known := l.holder[h.Epoch]
 	if !known || s.beat != h.Beat {
 		clear(l.holder)
@@ -132,7 +153,7 @@
 	if wait := leaseFor + rankGap*fleet.Time(before); now >= s.at+wait {
 		return Claim, now
 	}
-	if mine < l.place(h.Governor) {
+	if mine < l.place(h.Governor) || h.Retired && !l.retired {
 		return Want, now + LookEvery
 	}
 	return Stand, now + LookEvery
@@ -144,7 +165,9 @@
 	return l.entry()
 }
 
-func (l *Lease) entry() Entry { return Entry{Governor: l.me, Epoch: l.epoch, Beat: l.beat} }
+func (l *Lease) entry() Entry {
+	return Entry{Governor: l.me, Epoch: l.epoch, Beat: l.beat, Retired: l.retired}
+}
 
 // Ask gives the entry that asks for the proxy.
 func (l *Lease) Ask() uint64 {
@@ -155,7 +178,7 @@
 // Took tells, of the entries read after all other sessions were ended, whether the proxy is held from now on.
 func (l *Lease) Took(now fleet.Time, entries []Entry) bool {
 	if !Wins(l.me, l.epoch, entries) {
-		l.Drop(now)
+		l.Drop()
 		return false
 	}
 	l.since = now
@@ -171,24 +194,22 @@
 
 // Holding decides, of the entries read with a beat, whether a proxy that is held stays so. Moves is asked before it is handed on.
 func (l *Lease) Holding(now fleet.Time, entries []Entry, moves *Moves) Act {
+	l.see(now, entries)
 	if !Wins(l.me, l.epoch, entries) {
 		return Lost
 	}
+	if l.handing && moves.Take(now) {
+		return Release
+	}
 	for _, e := range entries {
 		if e.Want == 0 || l.place(e.Governor) >= l.place(l.me) {
 			continue
 		}
-		s, known := l.wanting[e.Governor]
-		if !known || s.beat == e.Want && now < s.at+leaseFor { // one word is none: it may be left from long ago
-			if !known {
-				l.wanting[e.Governor] = seen{e.Want, now}
-			}
-			continue
-		}
-		if s.beat == e.Want {
-			continue // it has gone since
+		last, known := l.wanting[e.Governor]
+		l.wanting[e.Governor] = e.Want
+		if !known || last == e.Want {
+			continue // a word that does not move is none: it may be left from long ago
 		}
-		l.wanting[e.Governor] = seen{e.Want, now}
 		if now >= l.since+holdLeast && moves.Take(now) {
 			return Release
 		}
@@ -197,8 +218,8 @@
 }
 
 // Drop forgets a takeover that is over: the next look begins anew.
-func (l *Lease) Drop(now fleet.Time) {
-	l.epoch, l.since, l.looked = 0, 0, now
+func (l *Lease) Drop() {
+	l.epoch, l.since, l.free, l.handing = 0, 0, 0, false
 	clear(l.holder)
 }
 
@@ -226,18 +247,25 @@
 	return true
 }
 
-// String prints an entry's value as it stands at proxies: EPOCH.BEAT, the epoch in base 36.
+const retiredMark = ".retired"
+
+// String prints an entry's value as it stands at proxies: EPOCH.BEAT, the epoch in base 36, and whether its governor is retired.
 func (e Entry) String() string {
-	return strconv.FormatUint(e.Epoch, 36) + "." + strconv.FormatUint(e.Beat, 10)
+	text := strconv.FormatUint(e.Epoch, 36) + "." + strconv.FormatUint(e.Beat, 10)
+	if e.Retired {
+		text += retiredMark
+	}
+	return text
 }
 
 // ParseEntry reads the value of a governor's entry. What makes no sense holds nothing, whoever wrote it.
 func ParseEntry(governor, value string) Entry {
+	value, retired := strings.CutSuffix(value, retiredMark)
 	epoch, beat, ok := strings.Cut(value, ".")
 	e, err := strconv.ParseUint(epoch, 36, 64)
 	b, err2 := strconv.ParseUint(beat, 10, 64)
 	if !ok || err != nil || err2 != nil {
 		return Entry{Governor: governor}
 	}
-	return Entry{Governor: governor, Epoch: e, Beat: b}
+	return Entry{Governor: governor, Epoch: e, Beat: b, Retired: retired}
 }
--- a/assign/lease_test.go
+++ b/assign/lease_test.go
@@ -55,10 +55,14 @@
 	clock   map[string]fleet.Time // that a governor's own clock is ahead
 	now     fleet.Time
 	moves   Moves
+	order   []string // in which governors come to look
+	changes int      // of who holds
+	last    string
 }
 
 func newProxy(governors ...string) *proxy {
-	p := &proxy{entries: map[string]Entry{}, leases: map[string]*Lease{}, holds: map[string]bool{}, dead: map[string]bool{}, clock: map[string]fleet.Time{}, now: 1000 * sec}
+	p := &proxy{entries: map[string]Entry{}, leases: map[string]*Lease{}, holds: map[string]bool{}, dead: map[string]bool{}, clock: map[string]fleet.Time{}, now: 1000 * sec, order: Rank("p", []string{"a", "b", "c"})}
+	p.order = []string{p.order[1], p.order[2], p.order[0]} // when one hands on the worst comes next: the best must not need luck
 	for _, g := range governors {
 		p.leases[g] = NewLease(g, "p", governors)
 	}
@@ -77,7 +81,12 @@
 // tick lets a second pass for all that live.
 func (p *proxy) tick() {
 	p.now += sec
-	for _, g := range Rank("p", []string{"a", "b", "c"}) {
+	defer func() {
+		if h := p.holder(); h != "" && h != p.last {
+			p.changes, p.last = p.changes+1, h
+		}
+	}()
+	for _, g := range p.order {
 		l := p.leases[g]
 		if l == nil || p.dead[g] {
 			continue
@@ -90,11 +99,11 @@
 			switch l.Holding(now, p.read(), &p.moves) {
 			case Lost:
 				p.holds[g] = false
-				l.Drop(now)
+				l.Drop()
 			case Release:
 				p.holds[g] = false
 				p.entries[g] = Entry{Governor: g, Want: p.entries[g].Want}
-				l.Drop(now)
+				l.Drop()
 			}
 			continue
 		}
@@ -107,7 +116,7 @@
 				if other != g && p.holds[other] {
 					p.holds[other] = false
 					if !p.dead[other] {
-						p.leases[other].Drop(now)
+						p.leases[other].Drop()
 					}
 				}
 			}
@@ -144,7 +153,7 @@
 			p.tick()
 		}
 	}
-	until(r[0], 1)
+	until(r[0], 3)
 	for range 30 {
 		if p.tick(); p.holder() != r[0] {
 			t.Fatalf("%q holds", p.holder())
@@ -152,14 +161,25 @@
 	}
 	p.dead[r[0]] = true
 	died := p.now
-	until(r[1], 8)
-	if after := p.now - died; after < leaseFor {
-		t.Errorf("taken after %.0f s, when its beats may only have been late", after.Seconds())
+	until(r[1], 9)
+	if after := p.now - died; after < leaseFor || after > leaseFor+2*sec {
+		t.Errorf("taken after %.0f s", after.Seconds())
+	}
+	p.holds[r[1]], p.leases[r[1]] = false, NewLease(r[1], "p", r) // a new life of the holder
+	if p.tick(); p.holder() != r[1] {
+		t.Errorf("%q holds after the holder's restart", p.holder())
+	}
+	if l := NewLease("a", "p", []string{"a"}); l.Begin(0, nil).Epoch != 1 || l.Holding(0, []Entry{{Governor: "a", Epoch: 2}}, &Moves{}) != Lost {
+		t.Error("another process of the same name is taken for this one")
 	}
 	p.dead[r[0]], p.holds[r[0]] = false, false // a new life: what it held is taken
 	p.leases[r[0]] = NewLease(r[0], "p", r)
-	took := p.now
-	until(r[0], 16)
+	delete(p.entries, r[0]) // as one that stops in order leaves nothing
+	took, changes := p.now, p.changes
+	until(r[0], 20)
+	if p.changes != changes+1 {
+		t.Errorf("went through %d hands on its way back", p.changes-changes)
+	}
 	if p.now-took < holdLeast-sec {
 		t.Errorf("handed on after %.0f s", (p.now - took).Seconds())
 	}
@@ -193,10 +213,11 @@
 				for g := range p.holds {
 					if p.holds[g] {
 						p.holds[g] = false
-						p.leases[g].Drop(p.now + p.clock[g])
+						p.leases[g].Drop()
 					}
 				}
 			}
+			p.order = rapid.Permutation([]string{"a", "b", "c"}).Draw(t, "order")
 			p.tick()
 			if len(p.holder()) > 1 {
 				t.Fatalf("%s hold", p.holder())
@@ -216,6 +237,44 @@
 	})
 }
 
+// TestRetired: a governor that retires hands on at once and takes nothing that others would; it serves what nobody else does.
+func TestRetired(t *testing.T) {
+	r := Rank("p", []string{"a", "b", "c"})
+	p := newProxy("a", "b", "c")
+	p.tick()
+	p.leases[r[0]].Retire(true)
+	for range 8 {
+		p.tick()
+	}
+	if p.holder() != r[1] {
+		t.Errorf("%q holds", p.holder())
+	}
+	if h, at := p.leases[r[2]].Seen(); h.Governor != r[1] || at < p.now-2*sec-2*3600*sec {
+		t.Errorf("%+v is seen to hold", h)
+	}
+	p.dead[r[1]], p.dead[r[2]] = true, true
+	for range 14 {
+		p.tick()
+	}
+	if p.holder() != r[0] {
+		t.Errorf("%q holds when nobody else lives", p.holder())
+	}
+	p.dead[r[1]], p.dead[r[2]], p.holds[r[1]] = false, false, false
+	for range 20 {
+		p.tick()
+	}
+	if h := p.holder(); h == r[0] || h == "" {
+		t.Errorf("%q holds", h)
+	}
+	p.leases[r[0]].Retire(false)
+	for range 20 {
+		p.tick()
+	}
+	if p.holder() != r[0] {
+		t.Errorf("%q holds, not the one that is back", p.holder())
+	}
+}
+
 // TestMoves: no more are handed on a second than a channel bears.
 func TestMoves(t *testing.T) {
 	m, now := Moves{}, 10*sec
@@ -232,9 +291,10 @@
 
 // TestEntries: what is printed is read; what makes no sense holds nothing.
 func TestEntries(t *testing.T) {
-	e := Entry{Governor: "g", Epoch: 1 << 60, Beat: 9}
-	if got := ParseEntry("g", e.String()); got != e {
-		t.Errorf("%+v", got)
+	for _, e := range []Entry{{Governor: "g", Epoch: 1 << 60, Beat: 9}, {Governor: "g", Epoch: 7, Retired: true}} {
+		if got := ParseEntry("g", e.String()); got != e {
+			t.Errorf("%+v", got)
+		}
 	}
 	for _, text := range []string{"", "1", "x.y", "-1.2", "zzzzzzzzzzzzzzzzz.1"} {
 		if got := ParseEntry("g", text); got.Epoch != 0 {
--- a/cmd/cressknot/main.go
+++ b/cmd/cressknot/main.go
@@ -2,30 +2,23 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"os"
-	"path/filepath"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/spf13/cobra"
 
 	"cressknot/config"
 	"cressknot/guard"
 	"cressknot/records"
-	"cressknot/runtimeapi"
+	"cressknot/rolling"
 	"cressknot/serve"
 )
 
-// askWithin bounds a command to a running governor.
-const askWithin = 5 * time.Second
-
 // usage is an error of the command line itself; the program then exits with 2.
 type usage struct{ error }
 
@@ -65,7 +58,7 @@
 		SilenceErrors: true, SilenceUsage: true, Version: serve.Version,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage{err} })
-	root.AddCommand(serveCommand(), checkCommand(), showCommand(), topCommand(), explainCommand(), guardCommand(), tableCommand(), storeCommand(), replayCommand(),
+	root.AddCommand(serveCommand(), checkCommand(), showCommand(), topCommand(), explainCommand(), guardCommand(), tableCommand(), storeCommand(), retireCommand(), rollingCommand(), replayCommand(),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: args(cobra.NoArgs),
 			Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), serve.Version) }})
 	return root
@@ -139,14 +132,16 @@
 }
 
 func showCommand() *cobra.Command {
-	c := &cobra.Command{Use: "show info|servers|tables|proxies|orders|log|refusals|reports|intake|series SERVER [MINUTES]",
+	c := &cobra.Command{Use: "show info|servers|tables|proxies|orders|log|refusals|doubts|members [proxies]|reports|intake|series SERVER [MINUTES]",
 		Short:     "Show what a running governor holds",
-		ValidArgs: []string{"info", "servers", "tables", "proxies", "orders", "log", "refusals", "reports", "intake", "series"}}
+		ValidArgs: []string{"info", "servers", "tables", "proxies", "orders", "log", "refusals", "doubts", "members", "reports", "intake", "series"}}
 	stale := c.Flags().Bool("stale", false, "with reports: only servers and proxies that something is wrong with")
 	c.Args = args(func(c *cobra.Command, a []string) error {
 		switch {
 		case len(a) == 0 || !slices.Contains(c.ValidArgs, a[0]):
 			return fmt.Errorf("show what? %s", strings.Join(c.ValidArgs, ", "))
+		case a[0] == "members" && len(a) == 2 && a[1] == "proxies":
+			return nil
 		case a[0] == "series":
 			return cobra.RangeArgs(2, 3)(c, a)
 		case *stale && a[0] != "reports":
@@ -188,37 +183,10 @@
 	if err != nil {
 		return err
 	}
-	network := "tcp"
-	if strings.Contains(addr, "/") || filepath.Ext(addr) == ".sock" {
-		network = "unix"
-	}
-	conn, err := net.DialTimeout(network, addr, askWithin)
-	if err != nil {
-		return fmt.Errorf("no governor answers: %w", err)
-	}
-	defer conn.Close()
-	if err := conn.SetDeadline(time.Now().Add(askWithin)); err != nil {
-		return err
-	}
-	if _, err := conn.Write(append(runtimeapi.AppendCommand(nil, words...), '\n')); err != nil {
-		return fmt.Errorf("asking the governor: %w", err)
-	}
-	var answers runtimeapi.Answers
-	var text string
-	done := errors.New("done")
-	buffer := make([]byte, 1<<16)
-	for in := bufio.NewReader(conn); ; {
-		n, err := in.Read(buffer)
-		if fed := answers.Feed(buffer[:n], func(b []byte) error { text = string(b); return done }); fed == done {
-			break
-		} else if err = errors.Join(fed, err); err != nil {
-			return fmt.Errorf("the governor's answer: %w", err)
-		}
-	}
-	if strings.HasPrefix(text, runtimeapi.UnknownPrefix) || text == runtimeapi.NoServer || strings.Contains(text, "Refused: ") {
-		return errors.New(strings.TrimSpace(text))
+	text, err := rolling.Ask(addr, words...)
+	if err == nil {
+		_, err = io.WriteString(out, text)
 	}
-	_, err = io.WriteString(out, text)
 	return err
 }
 
--- /dev/null
+++ b/cmd/cressknot/sharing.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"cressknot/rolling"
+)
+
+// Commands about governors that share proxies.
+
+func retireCommand() *cobra.Command {
+	c := &cobra.Command{Use: "retire on|off", Short: "Hand all proxies on to other governors, or take part again",
+		Long: `Hand all proxies of a governor on to those that it shares them with, some each second; it goes on
+running and takes only what nobody else does. 'show members' tells how far that is.`,
+		Args: args(cobra.ExactArgs(1))}
+	wait := c.Flags().Duration("wait", 0, "with on: wait so long until it holds no proxy; exit code 1 if it still does")
+	socket := socketFlag(c)
+	c.RunE = func(c *cobra.Command, a []string) error {
+		if a[0] != "on" && a[0] != "off" {
+			return usage{fmt.Errorf("retire on or off, not %q", a[0])}
+		}
+		if err := ask(c.OutOrStdout(), socket, "retire", a[0]); err != nil || *wait == 0 || a[0] == "off" {
+			return err
+		}
+		path, err := socket()
+		if err != nil {
+			return err
+		}
+		return rolling.Until(c.Context(), path, *wait, rolling.Members.HandedOn)
+	}
+	return c
+}
+
+func rollingCommand() *cobra.Command {
+	c := &cobra.Command{Use: "rolling --sockets A,B,... -- COMMAND [ARG ...]", Short: "Restart governors one after the other, each when that is safe",
+		Long: `For each governor in turn: wait until every proxy has a governor, let this one hand its proxies on, run
+the command that restarts it (CRESSKNOT_SOCKET has its socket), wait until it answers and every
+proxy has a governor again. Anything that does not come to pass in time ends it there, with the
+governor that it stopped at named.`,
+		Args: args(cobra.MinimumNArgs(1))}
+	sockets := c.Flags().StringSlice("sockets", nil, "operators' sockets of the governors, in the order of their restarts")
+	within := c.Flags().Duration("within", time.Minute, "longest wait for each step")
+	c.RunE = func(c *cobra.Command, command []string) error {
+		if len(*sockets) == 0 {
+			return usage{errors.New("rolling needs --sockets")}
+		}
+		return rolling.Restart(c.Context(), *sockets, *within, func(ctx context.Context, socket string) error {
+			run := exec.CommandContext(ctx, command[0], command[1:]...)
+			run.Env = append(os.Environ(), "CRESSKNOT_SOCKET="+socket)
+			run.Stdout, run.Stderr = c.OutOrStdout(), os.Stderr
+			if err := run.Run(); err != nil {
+				return fmt.Errorf("%s: %w", command[0], err)
+			}
+			fmt.Fprintln(c.OutOrStdout(), socket+": restarted")
+			return nil
+		})
+	}
+	return c
+}
--- a/front/front.go
+++ b/front/front.go
@@ -77,6 +77,23 @@
 	Stop(ctx context.Context) error
 }
 
+// Holder is who serves a proxy, as it was read there last.
+type Holder struct {
+	Proxy    fleet.ProxyID
+	Governor string // "" for nobody
+	Epoch    uint64
+	Moved    fleet.Time // when its beat was seen to move, on this governor's clock; 0: never
+	Mine     bool
+}
+
+// Sharer is a front whose proxies other governors may serve, too.
+type Sharer interface {
+	// Retire hands on all proxies and takes none that another governor would, or ends that.
+	Retire(on bool)
+	// Holders tells who serves each proxy.
+	Holders() []Holder
+}
+
 // Names tells how things are called outside: ids end here.
 type Names interface {
 	// Server gives the id of a server name, and whether it is known; names never change their id.
--- a/front/haproxy/lease.go
+++ b/front/haproxy/lease.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -221,7 +223,7 @@
 	}
 	l.leasing.Lock()
 	defer l.leasing.Unlock()
-	l.lease.Drop(l.front.opt.Clock())
+	l.lease.Drop()
 }
 
 // beat adds our next beat, and asks for the entries, to what goes with a poll.
@@ -258,3 +260,36 @@
 	s.release()
 	s.flush()
 }
+
+// Retire hands all proxies on, in bounded moves, or ends that.
+func (f *Front) Retire(on bool) {
+	for _, l := range f.links {
+		if l.lease != nil {
+			l.leasing.Lock()
+			l.lease.Retire(on)
+			l.leasing.Unlock()
+		}
+	}
+}
+
+// Holders tells who serves each proxy, by id.
+func (f *Front) Holders() (all []front.Holder) {
+	for id, l := range f.links {
+		if l.lease == nil {
+			continue
+		}
+		l.leasing.Lock()
+		h, moved := l.lease.Seen()
+		l.leasing.Unlock()
+		s := f.session(id)
+		all = append(all, front.Holder{Proxy: id, Governor: h.Governor, Epoch: h.Epoch, Moved: moved, Mine: s != nil && s.steers()})
+	}
+	slices.SortFunc(all, func(a, b front.Holder) int { return cmp.Compare(a.Proxy, b.Proxy) })
+	return all
+}
+
+func (s *session) steers() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.up && !s.over && !s.handing
+}
--- a/governor/loop.go
+++ b/governor/loop.go
@@ -38,17 +38,18 @@
 
 // Loop runs a Core: one goroutine that owns it, a mailbox, a clock and a timer.
 type Loop struct {
-	core   *Core
-	names  *Names
-	front  front.Front
-	source list.Source
-	log    zerolog.Logger
-	name   string
-	facts  func(service.Facts)
-	wall   time.Time // at the start; the clock goes on by the monotonic one
-	cache  string
-	probe  string // path of probes
-	prove  string // how servers of a kept list are asked
+	core    *Core
+	names   *Names
+	front   front.Front
+	source  list.Source
+	log     zerolog.Logger
+	name    string
+	facts   func(service.Facts)
+	sharing front.Sharer
+	wall    time.Time // at the start; the clock goes on by the monotonic one
+	cache   string
+	probe   string // path of probes
+	prove   string // how servers of a kept list are asked
 
 	mu     sync.Mutex
 	mail   []Input        // lists, joins, leaves, answers, probes: never shed, never folded
@@ -86,6 +87,7 @@
 	ProbePath string
 	Series    Series              // of reports, for operators; may be nil
 	Store     *store.Store        // what must last; may be nil
+	Sharing   front.Sharer        // where other governors may serve the same proxies; else nil
 	Name      string              // of the governor
 	Facts     func(service.Facts) // hears what callers of the service are told; may be nil
 }
@@ -101,6 +103,7 @@
 	l := &Loop{core: p.Core, names: p.Names, front: p.Front, source: p.Source, log: p.Log, wall: time.Now(),
 		cache: p.Cache, probe: p.ProbePath, place: map[fleet.ProxyID]int{}, box: &intake.Box{}, notify: make(chan struct{}, 1),
 		asks: make(chan func(*Core)), took: hdrhistogram.New(1000, tookMost, 3)}
+	l.sharing = p.Sharing
 	l.store, l.name, l.facts = p.Store, p.Name, p.Facts
 	if l.series = p.Series; l.series != nil {
 		l.core.intake.Keep(l.series.Add)
--- a/governor/operators.go
+++ b/governor/operators.go
@@ -103,6 +103,8 @@
 		{[]string{"set", "weight"}, "<table>/<server> <0-256>: set a line by hand for 5 minutes", (*Operators).setWeight, true},
 		{[]string{"clear", "weight"}, "<table>/<server>: let the module's weight count again", (*Operators).clearWeight, true},
 		{[]string{"table"}, "history|show|diff|rollback|pin|unpin T ..., proxies: versions of a table", (*Operators).tableCommand, true},
+		{[]string{"show", "members"}, "[proxies]: governors that share the proxies, and who serves which", (*Operators).showMembers, false},
+		{[]string{"retire"}, "on|off: hand all proxies on to other governors, or take its part again", (*Operators).retire, false},
 		{[]string{"help"}, "this list", func(o *Operators, c *Core, _ []string) string { return helpText() }, false},
 	}
 }
--- a/internal/drill/day.cue
+++ b/internal/drill/day.cue
@@ -19,7 +19,7 @@
 	what: "crash" | "slow" | "hang" | "errors" | "pauses" | "neighbour" | "ageing" | "flapping" | "preempt" | "drain" |
 		"shared-slow" | "heavy-tail" | "answers-lost" | "class-fails" | "one-sided" | "slow-link" | "reports-late" |
 		"burst" | "hot-caller" | "proxy-restart" | "proxy-stall" | "governor-kill" | "governor-stall" | "list-down" |
-		"list-late" | "cut" | "slow-reader" | "push" | "bad-table" | "flood" | "mute" | "dark"
+		"list-late" | "cut" | "slow-reader" | "push" | "bad-table" | "flood" | "mute" | "dark" | "rolling"
 	part:  number & >=0 & <=1 | *0 // of the nodes, proxies or governors; 0: one of them
 	size:  number & >=0 | *0       // times slower, share that fails, times the visits, reports a second
 	every: #Time | *"1s"           // pauses, flapping, stalls: between two
--- a/internal/drill/report.go
+++ b/internal/drill/report.go
@@ -30,6 +30,7 @@
 	Unnoticed                  int             `json:"unnoticed,omitempty"`    // those that it did not
 	Backs                      []float64       `json:"backs_s,omitempty"`      // from a way back until a proxy held it, sorted
 	Unattended                 []float64       `json:"unattended_s,omitempty"` // proxies without a governor's session between two, sorted
+	Rolled                     float64         `json:"rolled_s,omitempty"`     // that a rolling restart of all governors took
 	Libraries                  []LibraryRow    `json:"libraries,omitempty"`
 	Dark                       *Dark           `json:"dark,omitempty"`
 	Versions                   map[string]int  `json:"versions"` // of the first class's tables that proxies ended on
@@ -225,6 +226,9 @@
 		fmt.Fprintf(out, "proxies without a governor between two sessions: p50 %.3f s, p99 %.3f s, most %.3f s; %d times\n",
 			quantile(r.Unattended, 0.5), quantile(r.Unattended, 0.99), r.Unattended[n-1], n)
 	}
+	if r.Rolled > 0 {
+		fmt.Fprintf(out, "rolling restart of all governors: %.1f s\n", r.Rolled)
+	}
 	for _, l := range r.Libraries {
 		fmt.Fprintf(out, "%s over %s: %d visits, %.3f tries each, %d further ones kept back; followed %d times, %.1f s without\n", l.Name, l.Over, l.Visits,
 			float64(l.Tries)/float64(max(1, l.Visits)), l.Denied, l.Follows, l.Without)
--- a/internal/drill/troubles.go
+++ b/internal/drill/troubles.go
@@ -13,6 +13,7 @@
 
 	"cressknot/front/files"
 	"cressknot/internal/standin"
+	"cressknot/rolling"
 )
 
 // Kinds tells each kind of trouble and what it does, as docs/operate/drill.md has it.
@@ -69,6 +70,7 @@
 	"flood":       (*play).flood,
 	"mute":        (*play).mute,
 	"dark":        (*play).dark,
+	"rolling":     (*play).rolling,
 }
 
 func or(size, otherwise float64) float64 {
@@ -350,6 +352,29 @@
 	return p.governors[:count(part, len(p.governors))]
 }
 
+// rolling restarts all governors one after the other, as the command of that name does.
+func (p *play) rolling(ctx context.Context, t Trouble) {
+	var sockets []string
+	for _, g := range p.governors {
+		sockets = append(sockets, g.socket)
+	}
+	began := time.Now()
+	err := rolling.Restart(ctx, sockets, 30*time.Second, func(ctx context.Context, socket string) error {
+		g := p.governors[slices.Index(sockets, socket)]
+		if err := g.end(syscall.SIGTERM); err != nil {
+			return err
+		}
+		sleep(ctx, time.Second/2)
+		return g.start(p.Launch)
+	})
+	if err != nil {
+		p.trouble("rolling restart: %v", err)
+	}
+	p.mu.Lock()
+	p.report.Rolled = time.Since(began).Seconds()
+	p.mu.Unlock()
+}
+
 func (p *play) governorKill(ctx context.Context, t Trouble) {
 	owned := func(do func(string)) { // on files nothing shows a proxy that its governor is gone: then it isn't joined
 		for i, x := range p.proxies {
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -88,6 +88,9 @@
 		}
 	}
 	parts.Name = s.Name
+	if shares, is := carrier.(front.Sharer); is && len(s.Sharing.Governors) > 0 {
+		parts.Sharing = shares
+	}
 	if s.Store.Folder != "" {
 		lasting, woken, err := wake(s, core, log)
 		if err != nil {
