Plan proxies over governors evenly by visits, with the fewest moves

Ranking by hashes alone left one of three governors without any of twelve proxies.

Plan takes the first governor by hash that has room: a tenth over an even part by visits, or half of the largest proxy.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -23,6 +23,9 @@
 	holdLeast  = 10 * fleet.Second // before a proxy is handed on: governors that come and go move nothing back and forth
 	movesPerS  = 20.0              // proxies a second that a governor hands on: a table each, so that no channel is flooded
 	movesBurst = 20.0
+
+	fullBy      = 1.1   // of an even part: a tenth over costs less than the proxies that a smaller bound moves
+	leastVisits = 0.001 // a second, of a proxy of which none are known
 )
 
 // Entry is what a governor has written at a proxy.
@@ -43,6 +46,39 @@
 	return ranked
 }
 
+// Share is a proxy, with the visits a second that it usually gets.
+type Share struct {
+	Proxy  string
+	Visits float64
+}
+
+// Plan orders governors for each proxy, the one that should serve it first, so that each serves about as many visits: by hashes, but past
+// fullBy of an even part a governor comes after those that have room. All that know the same names plan the same.
+func Plan(shares []Share, governors []string) map[string][]string {
+	total, largest := 0.0, 0.0
+	for _, s := range shares {
+		total, largest = total+max(leastVisits, s.Visits), max(largest, s.Visits)
+	}
+	even := total / float64(max(1, len(governors)))
+	most := max(fullBy*even, even+largest/2)
+	order := slices.Clone(shares)
+	slices.SortFunc(order, func(a, b Share) int { // the same for all, and whatever comes or goes the same for the rest
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.Proxy), xxhash.Sum64String(b.Proxy)), strings.Compare(a.Proxy, b.Proxy))
+	})
+	load, plan := map[string]float64{}, make(map[string][]string, len(shares))
+	for _, s := range order {
+		rank, visits := Rank(s.Proxy, governors), max(leastVisits, s.Visits)
+		first := slices.IndexFunc(rank, func(g string) bool { return load[g]+visits <= most })
+		if first < 0 { // none has room for all of it
+			first = slices.Index(rank, slices.MinFunc(rank, func(a, b string) int { return cmp.Compare(load[a], load[b]) }))
+		}
+		g := rank[first]
+		load[g] += visits
+		plan[s.Proxy] = slices.Insert(slices.Delete(rank, first, first+1), 0, g)
+	}
+	return plan
+}
+
 // Holder gives the entry that holds, with Epoch 0 for none.
 func Holder(entries []Entry) (h Entry) {
 	for _, e := range entries {
@@ -99,9 +135,9 @@
 	lastAt  fleet.Time // when its beat was seen to move
 }
 
-// NewLease makes a governor's part; governors are all that may serve the proxy.
-func NewLease(me, proxy string, governors []string) *Lease {
-	return &Lease{me: me, rank: Rank(proxy, governors), holder: map[uint64]seen{}, wanting: map[string]uint64{}}
+// NewLease makes a governor's part at a proxy; rank are all that may serve it, the one that should first.
+func NewLease(me string, rank []string) *Lease {
+	return &Lease{me: me, rank: rank, holder: map[uint64]seen{}, wanting: map[string]uint64{}}
 }
 
 // Retire lets a governor hand on all that it holds and take nothing that another one would, or ends that. What nobody else takes it
--- a/assign/lease_test.go
+++ b/assign/lease_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"reflect"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -46,6 +48,57 @@
 	}
 }
 
+// TestPlanIsEven: whatever the visits of proxies and however few they are, no governor has more than a tenth over an even part, or half of
+// the largest proxy; one that joins or leaves moves little more than has to move; the order of names changes nothing.
+func TestPlanIsEven(t *testing.T) {
+	governors := []string{"governor-1", "governor-2", "governor-3", "governor-4", "governor-5"}
+	loads := func(shares []Share, plan map[string][]string) (most float64) {
+		load := map[string]float64{}
+		for _, s := range shares {
+			load[plan[s.Proxy][0]] += s.Visits
+			most = max(most, load[plan[s.Proxy][0]])
+		}
+		return most
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		var shares []Share
+		total, largest := 0.0, 0.0
+		for i := range rapid.IntRange(1, 300).Draw(t, "proxies") {
+			s := Share{fmt.Sprintf("proxy-%02d", i), rapid.Float64Range(0.1, 20).Draw(t, "visits")}
+			shares = append(shares, s)
+			total, largest = total+s.Visits, max(largest, s.Visits)
+		}
+		n := rapid.IntRange(1, 4).Draw(t, "governors")
+		plan := Plan(shares, governors[:n])
+		even := total / float64(n)
+		if most := loads(shares, plan); most > max(fullBy*even, even+largest/2)+largest/2+1e-9 {
+			t.Fatalf("%.1f visits at one governor, %.1f are even, the largest proxy has %.1f", most, even, largest)
+		}
+		slices.Reverse(shares)
+		if turned := Plan(shares, governors[:n]); !reflect.DeepEqual(plan, turned) {
+			t.Fatal("the order of names counts")
+		}
+	})
+	var shares []Share
+	for i := range 2000 {
+		shares = append(shares, Share{fmt.Sprint("p", i), float64(1 + i%7)})
+	}
+	before, after := Plan(shares, governors[:4]), Plan(shares, governors)
+	moved, least := 0, 0
+	for p := range before {
+		if after[p][0] != before[p][0] {
+			moved++
+		}
+		if after[p][0] == governors[4] {
+			least++
+		}
+	}
+	t.Logf("a fifth governor takes %d of 2,000 proxies; %d move in all", least, moved)
+	if moved > least*3/2 || least < 300 {
+		t.Errorf("%d move, %d had to", moved, least)
+	}
+}
+
 // world of one proxy's entries and some governors' leases, on time of its own. Sessions and takeovers go as the front makes them, at once.
 type proxy struct {
 	entries map[string]Entry
@@ -64,7 +117,7 @@
 	p := &proxy{entries: map[string]Entry{}, leases: map[string]*Lease{}, holds: map[string]bool{}, dead: map[string]bool{}, clock: map[string]fleet.Time{}, now: 1000 * sec, order: Rank("p", []string{"a", "b", "c"})}
 	p.order = []string{p.order[1], p.order[2], p.order[0]} // when one hands on the worst comes next: the best must not need luck
 	for _, g := range governors {
-		p.leases[g] = NewLease(g, "p", governors)
+		p.leases[g] = NewLease(g, Rank("p", governors))
 	}
 	return p
 }
@@ -165,15 +218,15 @@
 	if after := p.now - died; after < leaseFor || after > leaseFor+2*sec {
 		t.Errorf("taken after %.0f s", after.Seconds())
 	}
-	p.holds[r[1]], p.leases[r[1]] = false, NewLease(r[1], "p", r) // a new life of the holder
+	p.holds[r[1]], p.leases[r[1]] = false, NewLease(r[1], r) // a new life of the holder
 	if p.tick(); p.holder() != r[1] {
 		t.Errorf("%q holds after the holder's restart", p.holder())
 	}
-	if l := NewLease("a", "p", []string{"a"}); l.Begin(0, nil).Epoch != 1 || l.Holding(0, []Entry{{Governor: "a", Epoch: 2}}, &Moves{}) != Lost {
+	if l := NewLease("a", []string{"a"}); l.Begin(0, nil).Epoch != 1 || l.Holding(0, []Entry{{Governor: "a", Epoch: 2}}, &Moves{}) != Lost {
 		t.Error("another process of the same name is taken for this one")
 	}
 	p.dead[r[0]], p.holds[r[0]] = false, false // a new life: what it held is taken
-	p.leases[r[0]] = NewLease(r[0], "p", r)
+	p.leases[r[0]] = NewLease(r[0], r)
 	delete(p.entries, r[0]) // as one that stops in order leaves nothing
 	took, changes := p.now, p.changes
 	until(r[0], 20)
@@ -207,7 +260,7 @@
 				p.dead[g] = false
 			case 2: // a new life
 				p.dead[g], p.holds[g] = false, false
-				p.leases[g] = NewLease(g, "p", []string{"a", "b", "c"})
+				p.leases[g] = NewLease(g, Rank("p", []string{"a", "b", "c"}))
 			case 3:
 				p.entries = map[string]Entry{} // the proxy restarted
 				for g := range p.holds {
@@ -303,18 +356,17 @@
 	}
 }
 
-// BenchmarkRank ranks 10,000 proxies over 30 governors.
-func BenchmarkRank(b *testing.B) {
-	var governors, proxies []string
+// BenchmarkPlan plans 10,000 proxies over 30 governors.
+func BenchmarkPlan(b *testing.B) {
+	var governors []string
+	var proxies []Share
 	for i := range 30 {
 		governors = append(governors, fmt.Sprint("governor-", i))
 	}
 	for i := range 10_000 {
-		proxies = append(proxies, fmt.Sprint("proxy-", i))
+		proxies = append(proxies, Share{fmt.Sprint("proxy-", i), float64(i % 9)})
 	}
 	for b.Loop() {
-		for _, p := range proxies {
-			Rank(p, governors)
-		}
+		Plan(proxies, governors)
 	}
 }
