Let governors hear each other: drains, losses and starts of a newer list, one-sided trouble

A governor whose list lags or is dark goes on sending to servers that its peers know to drain or to be gone, and takes trouble on its own way for a server's.

Three governors on loopback find each other by one address; one with another key hears nothing.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -253,10 +253,10 @@
 	return Keep
 }
 
-// Drop forgets a takeover that is over: the next look begins anew.
+// Drop forgets a takeover that is over, or a session that was lost. What was seen of a holder's beat stands: a holder that is gone must
+// not win time by sessions that break.
 func (l *Lease) Drop() {
 	l.epoch, l.since, l.free, l.handing = 0, 0, 0, false
-	clear(l.holder)
 }
 
 // Epoch tells the epoch of the takeover that is made or stands, 0 for none.
--- a/assign/lease_test.go
+++ b/assign/lease_test.go
@@ -214,6 +214,8 @@
 	}
 	p.dead[r[0]] = true
 	died := p.now
+	p.tick()
+	p.leases[r[1]].Drop() // its session broke meanwhile
 	until(r[1], 9)
 	if after := p.now - died; after < leaseFor || after > leaseFor+2*sec {
 		t.Errorf("taken after %.0f s", after.Seconds())
--- a/config/config.go
+++ b/config/config.go
@@ -125,6 +125,11 @@
 		Whole      float64 `json:"whole"`
 		WorstClass float64 `json:"worstClass"`
 	} `json:"goal"`
+	Peers struct {
+		Listen  string   `json:"listen"`
+		Join    []string `json:"join"`
+		KeyFile string   `json:"keyFile"`
+	} `json:"peers"`
 	Sharing struct {
 		Governors []string `json:"governors"`
 	} `json:"sharing"`
@@ -495,7 +500,7 @@
 		{"zones", a.Zones, b.Zones}, {"zone", a.Zone, b.Zone}, {"kinds", a.Kinds, b.Kinds}, {"classes", a.Classes, b.Classes},
 		{"proxies", a.Proxies, b.Proxies}, {"list", a.List, b.List}, {"front", a.Front, b.Front},
 		{"channel", a.Channel, b.Channel}, {"reports", a.Reports, b.Reports}, {"servers", a.Servers, b.Servers},
-		{"goal", a.Goal, b.Goal}, {"guard", a.Guard, b.Guard}, {"faults", a.Faults, b.Faults}, {"operators", a.Operators, b.Operators}, {"store", a.Store, b.Store}, {"service", a.Service, b.Service}, {"sharing", a.Sharing, b.Sharing}} {
+		{"goal", a.Goal, b.Goal}, {"guard", a.Guard, b.Guard}, {"faults", a.Faults, b.Faults}, {"operators", a.Operators, b.Operators}, {"store", a.Store, b.Store}, {"service", a.Service, b.Service}, {"sharing", a.Sharing, b.Sharing}, {"peers", a.Peers, b.Peers}} {
 		if fmt.Sprint(f.a) != fmt.Sprint(f.b) {
 			fields = append(fields, f.name)
 		}
--- a/config/schema.cue
+++ b/config/schema.cue
@@ -107,6 +107,12 @@
 		file:   string | *""                    // "": standard error
 	}
 
+	peers: {
+		listen:  string | *""                   // host:port (UDP and TCP) where other governors reach this one, "" for none
+		join:    [...string] | *[]              // host:port of some of them
+		keyFile: string | *""                   // 16, 24 or 32 bytes in hexadecimal: news are encrypted with it
+	}
+
 	sharing: governors: [...#Name] | *[] // all that may serve the proxies named here, this one too; empty: this one alone
 
 	service: {
--- a/governor/core.go
+++ b/governor/core.go
@@ -17,6 +17,7 @@
 	"cressknot/intake"
 	"cressknot/list"
 	"cressknot/logic"
+	"cressknot/peers"
 	"cressknot/service"
 	"cressknot/steer"
 	"cressknot/store"
@@ -47,6 +48,7 @@
 	ListAt   fleet.Time
 	Keep     []store.Change // what has to last
 	Logs     []Line
+	News     *peers.News      // for other governors
 	Facts    *service.Facts   // what callers of the service are told beside tables, where it has changed
 	Distrust []fleet.ServerID // sources that are not believed from now on
 	Wake     fleet.Time       // next turn at the latest
@@ -94,7 +96,9 @@
 	entries   map[fleet.ServerID]fleet.Entry
 	docs      map[string]list.Server // the whole list as told, for the cache
 	rev       uint64
-	listed    fleet.Time     // last list
+	listed    fleet.Time   // last list
+	board     *peers.Board // nil: no peers are heard
+	boardAt   fleet.Time
 	callers   []service.Zone // zones whose programs ask the service
 	factsDue  bool
 	listErr   string // what ails its source, as told last
@@ -194,6 +198,7 @@
 	}
 	ungate := c.ungate(now, &out)
 	doubts := c.doubting(now, &out)
+	c.heed(now, &out)
 	messages, heard, drops, wake := c.plane.Next(now)
 	out.Messages, out.Drops = messages, drops
 	c.hear(now, heard)
@@ -201,6 +206,7 @@
 	c.events = append(c.events, told...)
 	for _, e := range told {
 		if e, ok := e.(fleet.Heard); ok {
+			c.meet(now, e)
 			c.doubts.Met(now, e.Server, float64(e.Tries)-float64(e.Failed), float64(e.Failed))
 		}
 	}
@@ -313,6 +319,12 @@
 		c.list(now, in, out)
 	case Proof:
 		c.doubts.Asked(now, in.Server, in.Of)
+	case peers.News:
+		if c.board != nil {
+			if err := c.board.Hear(now, in); err != nil {
+				c.log(out, Line{now, "warn", "peers", err.Error()})
+			}
+		}
 	case fleet.Probed:
 		c.events = append(c.events, in)
 	case Pushed:
@@ -469,6 +481,7 @@
 		out.List = c.document()
 	}
 	c.tell(now, l)
+	c.ownList(now)
 }
 
 // tell tells all that go by it of a list.
--- a/governor/loop.go
+++ b/governor/loop.go
@@ -23,6 +23,7 @@
 	"cressknot/intake"
 	"cressknot/intake/series"
 	"cressknot/list"
+	"cressknot/peers"
 	"cressknot/records"
 	"cressknot/service"
 	"cressknot/steer"
@@ -46,6 +47,7 @@
 	name    string
 	facts   func(service.Facts)
 	sharing front.Sharer
+	tell    func(peers.News)
 	wall    time.Time // at the start; the clock goes on by the monotonic one
 	cache   string
 	probe   string // path of probes
@@ -87,6 +89,7 @@
 	ProbePath string
 	Series    Series              // of reports, for operators; may be nil
 	Store     *store.Store        // what must last; may be nil
+	Tell      func(peers.News)    // carries news to other governors; may be nil
 	Sharing   front.Sharer        // where other governors may serve the same proxies; else nil
 	Name      string              // of the governor
 	Facts     func(service.Facts) // hears what callers of the service are told; may be nil
@@ -103,7 +106,7 @@
 	l := &Loop{core: p.Core, names: p.Names, front: p.Front, source: p.Source, log: p.Log, wall: time.Now(),
 		cache: p.Cache, probe: p.ProbePath, place: map[fleet.ProxyID]int{}, box: &intake.Box{}, notify: make(chan struct{}, 1),
 		asks: make(chan func(*Core)), took: hdrhistogram.New(1000, tookMost, 3)}
-	l.sharing = p.Sharing
+	l.sharing, l.tell = p.Sharing, p.Tell
 	l.store, l.name, l.facts = p.Store, p.Name, p.Facts
 	if l.series = p.Series; l.series != nil {
 		l.core.intake.Keep(l.series.Add)
@@ -157,6 +160,12 @@
 	return reply
 }
 
+// Peer takes in what another governor tells.
+func (l *Loop) Peer(n peers.News) { l.post(n) }
+
+// Note puts a line into the log.
+func (l *Loop) Note(level, from, text string) { l.say(Line{l.now(), level, from, text}) }
+
 // Now is the governor's clock.
 func (l *Loop) Now() fleet.Time { return l.now() }
 
@@ -277,6 +286,9 @@
 			l.log.Error().Err(err).Msg("the list was not kept; the governor goes on without")
 		}
 	}
+	if out.News != nil && l.tell != nil {
+		l.tell(*out.News)
+	}
 	if out.Facts != nil && l.facts != nil {
 		l.facts(*out.Facts)
 	}
--- /dev/null
+++ b/members/members.go
@@ -0,0 +1,214 @@
+// Package members lets governors find each other and carry news among them, on hashicorp/memberlist: who is there, suspicion and its
+// refutation, leaving on purpose, encrypted where a key is set. What news mean is decided in package peers.
+package members
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+
+	"cressknot/peers"
+)
+
+const (
+	newsMost   = 1 << 20          // bytes of a peer's news
+	smallMost  = 1200             // bytes that go as one packet; larger news go over streams
+	joinEvery  = 2 * time.Second  // between tries to join while nobody else is there
+	leaveMost  = 2 * time.Second  // for a leave to be told
+	deadKeeps  = 30 * time.Second // a dead governor's name may be taken by a new process at another address
+	sendAtOnce = 16               // streams of one telling
+)
+
+// Protocol is the version of what governors tell each other: Major.Minor. Another major version is not listened to.
+const (
+	Major = 1
+	Minor = 0
+)
+
+// Options say where a governor listens and whom it asks first.
+type Options struct {
+	Name   string
+	Listen string   // host:port
+	Join   []string // host:port of others; any that is up will do
+	Key    []byte   // 16, 24 or 32 bytes; nil: not encrypted
+	News   func(peers.News)
+	Wrong  func(error) // what can't be read, and from whom
+	Change func(name string, here bool)
+}
+
+type meta struct {
+	Major int `json:"major"`
+	Minor int `json:"minor"`
+}
+
+// Members is one governor's membership.
+type Members struct {
+	opt    Options
+	list   *memberlist.Memberlist
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	mu     sync.Mutex
+	newest []byte // our news, for those that join
+	sent   uint64 // bytes of news
+}
+
+type delegate struct{ m *Members }
+
+type events struct{ m *Members }
+
+// Start listens and begins to look for the others.
+func Start(o Options) (*Members, error) {
+	host, port, err := net.SplitHostPort(o.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("members: %w", err)
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	if err != nil {
+		return nil, fmt.Errorf("members: port of %q: %w", o.Listen, err)
+	}
+	m := &Members{opt: o}
+	cfg := memberlist.DefaultLANConfig()
+	cfg.Name, cfg.BindAddr, cfg.BindPort, cfg.AdvertiseAddr, cfg.AdvertisePort = o.Name, host, int(n), host, int(n)
+	cfg.Delegate, cfg.Events, cfg.SecretKey = &delegate{m}, &events{m}, o.Key
+	cfg.DeadNodeReclaimTime = deadKeeps
+	cfg.Logger = log.New(io.Discard, "", 0) // what matters comes as errors and changes
+	if m.list, err = memberlist.Create(cfg); err != nil {
+		return nil, fmt.Errorf("members: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	m.done.Add(1)
+	go m.join(ctx)
+	return m, nil
+}
+
+// join asks the configured others until somebody is there, and again whenever nobody is.
+func (m *Members) join(ctx context.Context) {
+	defer m.done.Done()
+	for {
+		if len(m.opt.Join) > 0 && m.list.NumMembers() < 2 {
+			_, _ = m.list.Join(m.opt.Join) // nobody there yet is no error
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(joinEvery):
+		}
+	}
+}
+
+// Tell sends our news to all that are here. It waits for no one of them.
+func (m *Members) Tell(n peers.News) {
+	text, err := json.Marshal(n)
+	if err != nil || len(text) > newsMost {
+		return // peers bounds what there is to tell
+	}
+	m.mu.Lock()
+	m.newest = text
+	m.mu.Unlock()
+	limit := make(chan struct{}, sendAtOnce)
+	for _, node := range m.list.Members() {
+		if node.Name == m.opt.Name || !speaks(node) {
+			continue
+		}
+		m.mu.Lock()
+		m.sent += uint64(len(text))
+		m.mu.Unlock()
+		if len(text) <= smallMost {
+			_ = m.list.SendBestEffort(node, text) // the next telling makes up for one that is lost
+			continue
+		}
+		go func() {
+			limit <- struct{}{}
+			defer func() { <-limit }()
+			_ = m.list.SendReliable(node, text)
+		}()
+	}
+}
+
+func speaks(node *memberlist.Node) bool {
+	var v meta
+	return json.Unmarshal(node.Meta, &v) == nil && v.Major == Major
+}
+
+// Sent tells how many bytes of news were sent.
+func (m *Members) Sent() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sent
+}
+
+// Names gives those that are here, this governor too.
+func (m *Members) Names() (names []string) {
+	for _, node := range m.list.Members() {
+		names = append(names, node.Name)
+	}
+	return names
+}
+
+// Close leaves on purpose, so that nobody suspects a death.
+func (m *Members) Close() error {
+	m.cancel()
+	m.done.Wait()
+	return errors.Join(m.list.Leave(leaveMost), m.list.Shutdown())
+}
+
+func (d *delegate) NodeMeta(limit int) []byte {
+	text, _ := json.Marshal(meta{Major, Minor})
+	return text
+}
+
+func (d *delegate) NotifyMsg(text []byte) { d.m.take(text) }
+
+func (m *Members) take(text []byte) {
+	var n peers.News
+	err := error(nil)
+	if len(text) > newsMost {
+		err = fmt.Errorf("news of %d bytes, %d are the most", len(text), newsMost)
+	} else if err = json.Unmarshal(text, &n); err == nil {
+		err = n.Check()
+	}
+	if err != nil {
+		m.opt.Wrong(fmt.Errorf("members: %w", err))
+		return
+	}
+	m.opt.News(n)
+}
+
+func (d *delegate) GetBroadcasts(int, int) [][]byte { return nil }
+
+// LocalState goes to one that joins: it need not wait for the next telling.
+func (d *delegate) LocalState(bool) []byte {
+	d.m.mu.Lock()
+	defer d.m.mu.Unlock()
+	return d.m.newest
+}
+
+func (d *delegate) MergeRemoteState(text []byte, _ bool) {
+	if len(text) > 0 {
+		d.m.take(text)
+	}
+}
+
+func (e *events) NotifyJoin(n *memberlist.Node) {
+	if n.Name != e.m.opt.Name {
+		e.m.opt.Change(n.Name, true)
+	}
+}
+
+func (e *events) NotifyLeave(n *memberlist.Node) {
+	if n.Name != e.m.opt.Name {
+		e.m.opt.Change(n.Name, false)
+	}
+}
+
+func (e *events) NotifyUpdate(*memberlist.Node) {}
--- /dev/null
+++ b/members/members_test.go
@@ -0,0 +1,101 @@
+package members
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cressknot/fleet"
+	"cressknot/peers"
+)
+
+const waitMost = 30 * time.Second
+
+// node is a governor's membership and what it heard.
+type node struct {
+	*Members
+	mu    sync.Mutex
+	news  []peers.News
+	wrong []error
+	addr  string
+}
+
+func start(t *testing.T, name string, key []byte, join ...string) *node {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &node{addr: l.Addr().String()}
+	l.Close()
+	n.Members, err = Start(Options{Name: name, Listen: n.addr, Join: join, Key: key, Change: func(string, bool) {},
+		News: func(got peers.News) {
+			n.mu.Lock()
+			n.news = append(n.news, got)
+			n.mu.Unlock()
+		},
+		Wrong: func(err error) {
+			n.mu.Lock()
+			n.wrong = append(n.wrong, err)
+			n.mu.Unlock()
+		}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func until(t *testing.T, what string, good func() bool) {
+	t.Helper()
+	for end := time.Now().Add(waitMost); !good(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal(what)
+		}
+	}
+}
+
+func (n *node) heard(governor string, servers int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.ContainsFunc(n.news, func(g peers.News) bool { return g.Governor == governor && len(g.Servers) == servers })
+}
+
+// TestGovernorsFindEachOther: three that know one address each find all, hear small and large news, and are told of one that leaves; one
+// with another key is not heard, nor does it hear.
+func TestGovernorsFindEachOther(t *testing.T) {
+	key := []byte("sixteen bytes of")
+	a := start(t, "a", key)
+	b := start(t, "b", key, a.addr)
+	c := start(t, "c", key, b.addr)
+	other := start(t, "other", []byte("another sixteen."), a.addr)
+	defer a.Close()
+	defer c.Close()
+	defer other.Close()
+	until(t, "they don't find each other", func() bool { return len(a.Names()) == 3 && len(b.Names()) == 3 && len(c.Names()) == 3 })
+	large := peers.News{Governor: "c", Epoch: 1, Seq: 2}
+	for i := range 1500 {
+		large.Servers = append(large.Servers, peers.Server{Name: fmt.Sprint("server-", i), State: fleet.Draining})
+	}
+	until(t, "news don't come", func() bool {
+		c.Tell(peers.News{Governor: "c", Epoch: 1, Seq: 1, Servers: large.Servers[:2]})
+		return a.heard("c", 2) && b.heard("c", 2)
+	})
+	c.Tell(large)
+	until(t, "large news don't come", func() bool { return a.heard("c", 1500) && b.heard("c", 1500) })
+	c.take([]byte("{\"g\": 5}"))
+	c.take([]byte("{\"g\": \"x\", \"v\": [{\"n\": \"\"}]}"))
+	if len(c.wrong) != 2 || !strings.Contains(c.wrong[1].Error(), "views[0]") {
+		t.Errorf("%v", c.wrong)
+	}
+	if err := b.Close(); err != nil {
+		t.Error(err)
+	}
+	until(t, "one that left is still here", func() bool { return len(a.Names()) == 2 && len(c.Names()) == 2 })
+	if len(other.Names()) != 1 || other.heard("c", 2) {
+		t.Errorf("with another key: %v", other.Names())
+	}
+}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
@@ -27,6 +28,8 @@
 	"cressknot/intake/push"
 	"cressknot/intake/series"
 	"cressknot/list"
+	"cressknot/members"
+	"cressknot/peers"
 	"cressknot/records"
 	"cressknot/service"
 	"cressknot/service/rpc"
@@ -119,7 +122,21 @@
 		}()
 	}
 	asked := serving(s, core, callers, &parts)
-	loop := governor.NewLoop(parts)
+	var loop *governor.Loop
+	if s.Peers.Listen != "" {
+		if core.Epoch() == 0 {
+			core.Serve(nil, uint64(time.Now().UnixNano()))
+		}
+		core.Peers(s.Name)
+		here, err := meet(s, func() *governor.Loop { return loop })
+		if err != nil {
+			return err
+		}
+		defer here.Close()
+		parts.Tell = here.Tell
+		log.Info().Str("addr", s.Peers.Listen).Bool("encrypted", s.Peers.KeyFile != "").Msg("hears other governors")
+	}
+	loop = governor.NewLoop(parts)
 	if asked != nil {
 		stop, err := listen(s, loop, asked, log)
 		if err != nil {
@@ -207,6 +224,36 @@
 	return lasting, woken.Lists, nil
 }
 
+// meet joins the other governors. The loop is there once they have something to say.
+func meet(s *config.Settings, loop func() *governor.Loop) (*members.Members, error) {
+	o := members.Options{Name: s.Name, Listen: s.Peers.Listen, Join: s.Peers.Join}
+	if s.Peers.KeyFile != "" {
+		text, err := os.ReadFile(s.Peers.KeyFile)
+		if err != nil {
+			return nil, fmt.Errorf("peers.keyFile: %w", err)
+		}
+		if o.Key, err = hex.DecodeString(strings.TrimSpace(string(text))); err != nil {
+			return nil, fmt.Errorf("peers.keyFile: %s: %w", s.Peers.KeyFile, err)
+		}
+	}
+	o.News = func(n peers.News) {
+		if l := loop(); l != nil {
+			l.Peer(n)
+		}
+	}
+	o.Wrong = func(err error) {
+		if l := loop(); l != nil {
+			l.Note("warn", "peers", err.Error())
+		}
+	}
+	o.Change = func(name string, here bool) {
+		if l := loop(); l != nil {
+			l.Note("info", "peers", fmt.Sprintf("governor %s %s", name, map[bool]string{true: "is here", false: "left"}[here]))
+		}
+	}
+	return members.Start(o)
+}
+
 // serving lets the programs of zones be proxies of the governor, nil where nobody may ask it.
 func serving(s *config.Settings, core *governor.Core, callers []front.Proxy, parts *governor.Parts) *service.Hub {
 	if len(callers) == 0 {
