--- a/internal/drill/day.cue
+++ b/internal/drill/day.cue
@@ -19,7 +19,7 @@
 	what: "crash" | "slow" | "hang" | "errors" | "pauses" | "neighbour" | "ageing" | "flapping" | "preempt" | "drain" |
 		"shared-slow" | "heavy-tail" | "answers-lost" | "class-fails" | "one-sided" | "slow-link" | "reports-late" |
 		"burst" | "hot-caller" | "proxy-restart" | "proxy-stall" | "governor-kill" | "governor-stall" | "list-down" |
-		"list-late" | "cut" | "slow-reader" | "push" | "bad-table" | "flood" | "mute" | "dark" | "rolling"
+		"list-late" | "cut" | "slow-reader" | "push" | "bad-table" | "flood" | "mute" | "dark" | "rolling" | "list-dark"
 	part:  number & >=0 & <=1 | *0 // of the nodes, proxies or governors; 0: one of them
 	size:  number & >=0 | *0       // times slower, share that fails, times the visits, reports a second
 	every: #Time | *"1s"           // pauses, flapping, stalls: between two
@@ -35,6 +35,7 @@
 	nodes:     int & >=1 & <=400
 	proxies:   int & >=1 & <=400
 	governors: int & >=1 & <=16 | *1
+	peers:     bool | *false // governors hear each other
 	sharing:   bool | *false // all governors may serve all proxies, and agree at them
 	libraries: int & >=0 & <=400 | *0 // programs that send visits themselves, by the client libraries in turn
 	visits:    number & >0 // a second, all proxies together
--- a/internal/drill/day.go
+++ b/internal/drill/day.go
@@ -50,6 +50,7 @@
 	Governors int      `json:"governors"`
 	Libraries int      `json:"libraries"`
 	Sharing   bool     `json:"sharing"`
+	Peers     bool     `json:"peers"`
 	Visits    float64  `json:"visits"`
 	Front     string   `json:"front"`
 	Admission string   `json:"admission"`
--- /dev/null
+++ b/internal/drill/days/peers.cue
@@ -0,0 +1,15 @@
+// The list's source fails one of two governors for most of the day, while servers drain and die; they hear each other.
+name:      "peers"
+length:    "60s"
+nodes:     16
+proxies:   8
+governors: 2
+peers:     true
+visits:    130
+troubles: [
+	{at: "8s", for: "44s", what: "list-dark"},
+	{at: "12s", for: "14s", what: "drain", part: 0.2},
+	{at: "16s", for: "10s", what: "crash", part: 0.2},
+	{at: "30s", for: "14s", what: "preempt", part: 0.2},
+	{at: "36s", for: "8s", what: "crash", part: 0.15},
+]
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -51,6 +51,7 @@
 type governor struct {
 	name, config, socket, log string
 	reports                   string // host:port that nodes push to, "" for none
+	peers                     string // where other governors reach it, "" for nowhere
 	rpc, text                 string // where programs ask, "" for nowhere
 	mu                        sync.Mutex
 	cmd                       *exec.Cmd
@@ -175,6 +176,13 @@
 		p.ownerOf = append(p.ownerOf, g)
 		p.watch.Owner(p.proxies[i].Name, p.governors[g].name)
 	}
+	for _, g := range p.governors {
+		if d.Peers {
+			if g.peers, err = freePort(); err != nil {
+				return err
+			}
+		}
+	}
 	for g := range p.governors {
 		if err := p.settings(g); err != nil {
 			return err
@@ -275,6 +283,9 @@
 	if d.Store {
 		s["store"] = map[string]any{"folder": filepath.Join(p.dir, own.name+".store")}
 	}
+	if d.Peers {
+		s["peers"] = map[string]any{"listen": own.peers, "join": []string{p.governors[0].peers, p.governors[len(p.governors)-1].peers}}
+	}
 	if d.Sharing {
 		var all []string
 		for _, o := range p.governors {
--- a/internal/drill/troubles.go
+++ b/internal/drill/troubles.go
@@ -71,6 +71,13 @@
 	"mute":        (*play).mute,
 	"dark":        (*play).dark,
 	"rolling":     (*play).rolling,
+	"list-dark": func(p *play, ctx context.Context, t Trouble) {
+		for _, g := range p.someGovernors(t.Part) {
+			p.lister.Dark(g.name, true)
+			defer p.lister.Dark(g.name, false)
+		}
+		wait(ctx, t.For)
+	},
 }
 
 func or(size, otherwise float64) float64 {
--- a/internal/standin/lister.go
+++ b/internal/standin/lister.go
@@ -34,7 +34,8 @@
 	changed map[string]uint64 // revision of an entry's last change; gone ones too
 	since   chan struct{}     // closed at the next change
 	down    bool
-	late    time.Duration // changes are told so much later
+	dark    map[string]bool // governors that it fails
+	late    time.Duration   // changes are told so much later
 	server  *http.Server
 	asked   int
 	deaf    bool
@@ -100,6 +101,18 @@
 	s.since = make(chan struct{})
 }
 
+// Dark lets the service fail one governor, or no more.
+func (s *Lister) Dark(governor string, dark bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.dark == nil {
+		s.dark = map[string]bool{}
+	}
+	s.dark[governor] = dark
+	close(s.since)
+	s.since = make(chan struct{})
+}
+
 // Deaf lets the service tell each governor its first list only, though the watch takes all changes as told.
 func (s *Lister) Deaf(deaf bool) {
 	s.mu.Lock()
@@ -125,7 +138,7 @@
 		s.mu.Lock()
 		s.asked++
 		since := s.since
-		if s.down {
+		if s.down || s.dark[governor] {
 			s.mu.Unlock()
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
