Move proxies by hand, print plans, and let nobody wait for a governor that leaves

Staff need to move a proxy, and to know what a change of governors will move; a proxy that was handed on waited 2 s for each better ranked governor, also for the one that had just left it.

A governor that retires or stops leaves that word at the proxy; one that has asked takes what is handed on at once.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -35,6 +35,8 @@
 	Beat     uint64
 	Want     uint64 // its beat of asking for the proxy; 0: it doesn't
 	Retired  bool   // it holds the proxy only as nobody else took it
+	Hand     bool   // staff gave it the proxy: nobody asks for it back
+	WantHand bool   // staff want it to have the proxy
 }
 
 // Rank orders governors for a proxy, the one that should serve it first: by the highest of hashes of both names, so that a governor that
@@ -130,6 +132,8 @@
 	beat    uint64
 	want    uint64
 	retired bool
+	asked   bool       // for the proxy, since it was held last
+	hand    bool       // staff want it to have the proxy
 	handing bool       // what is held is handed on, whether anybody asks or not
 	last    Entry      // that held when entries were read last
 	lastAt  fleet.Time // when its beat was seen to move
@@ -144,6 +148,9 @@
 // takes still, and holds until somebody asks.
 func (l *Lease) Retire(on bool) { l.retired, l.handing = on, on && l.since > 0 }
 
+// Take lets a governor have the proxy, whoever ranks better, or ends that: staff want it so.
+func (l *Lease) Take(on bool) { l.hand = on }
+
 // Seen tells who held the proxy when its entries were read last, and when that one's beat was seen to move.
 func (l *Lease) Seen() (holder Entry, moved fleet.Time) { return l.last, l.lastAt }
 
@@ -169,7 +176,12 @@
 	h, mine := Holder(entries), l.place(l.me)
 	if h.Epoch == 0 || h.Governor == l.me { // nobody's, or what an earlier life of ours held
 		l.free = cmp.Or(l.free, now)
-		wait := rankGap * fleet.Time(mine) // better ranked ones come first, who may look a while later
+		wait := rankGap * fleet.Time(l.before(entries)) // better ranked ones come first, who may look a while later
+		if l.hand {
+			wait = 0
+		} else if slices.ContainsFunc(entries, func(e Entry) bool { return e.WantHand && e.Governor != l.me }) {
+			wait += rankGap // it is handed on to that one
+		}
 		if h.Governor == l.me && !l.retired || now >= l.free+wait {
 			return Claim, now
 		}
@@ -189,12 +201,37 @@
 	if wait := leaseFor + rankGap*fleet.Time(before); now >= s.at+wait {
 		return Claim, now
 	}
-	if mine < l.place(h.Governor) || h.Retired && !l.retired {
+	if l.hand || !h.Hand && (mine < l.place(h.Governor) || h.Retired && !l.retired) {
 		return Want, now + LookEvery
 	}
 	return Stand, now + LookEvery
 }
 
+// before counts the governors that may take a free proxy before this one: better ranked ones that have not said that they leave. None, where
+// this one has asked for the proxy and no better ranked one does.
+func (l *Lease) before(entries []Entry) (n int) {
+	mine, asks := l.place(l.me), false
+	left := map[string]bool{}
+	for _, e := range entries {
+		left[e.Governor] = e.Retired && e.Epoch == 0
+		asks = asks || e.Want > 0 && l.place(e.Governor) < mine
+	}
+	if l.asked && !asks {
+		return 0
+	}
+	for i, g := range l.rank {
+		if i < mine && g != l.me && !left[g] {
+			n++
+		}
+	}
+	return n
+}
+
+// Leave gives the entry that a governor leaves behind as it hands a proxy on: one that retires or stops says so, so that nobody waits for it.
+func (l *Lease) Leave(stops bool) Entry {
+	return Entry{Governor: l.me, Retired: l.retired || stops}
+}
+
 // Begin begins a takeover and gives the entry to write.
 func (l *Lease) Begin(now fleet.Time, entries []Entry) Entry {
 	l.epoch, l.beat = NextEpoch(now, entries), 1
@@ -202,13 +239,28 @@
 }
 
 func (l *Lease) entry() Entry {
-	return Entry{Governor: l.me, Epoch: l.epoch, Beat: l.beat, Retired: l.retired}
+	return Entry{Governor: l.me, Epoch: l.epoch, Beat: l.beat, Retired: l.retired, Hand: l.hand}
 }
 
-// Ask gives the entry that asks for the proxy.
-func (l *Lease) Ask() uint64 {
+// Ask gives the value of the entry that asks for the proxy.
+func (l *Lease) Ask() string {
 	l.want++
-	return l.want
+	l.asked = true
+	text := strconv.FormatUint(l.want, 10)
+	if l.hand {
+		text += handMark
+	}
+	return text
+}
+
+// ParseWant reads the value of an entry that asks for a proxy. What makes no sense asks for nothing.
+func ParseWant(value string) (beat uint64, hand bool) {
+	value, hand = strings.CutSuffix(value, handMark)
+	beat, err := strconv.ParseUint(value, 10, 64)
+	if err != nil {
+		return 0, false
+	}
+	return beat, hand
 }
 
 // Took tells, of the entries read after all other sessions were ended, whether the proxy is held from now on.
@@ -217,7 +269,7 @@
 		l.Drop()
 		return false
 	}
-	l.since = now
+	l.since, l.asked = now, false
 	clear(l.wanting)
 	return true
 }
@@ -238,7 +290,7 @@
 		return Release
 	}
 	for _, e := range entries {
-		if e.Want == 0 || l.place(e.Governor) >= l.place(l.me) {
+		if e.Want == 0 || !e.WantHand && (l.hand || l.place(e.Governor) >= l.place(l.me)) {
 			continue
 		}
 		last, known := l.wanting[e.Governor]
@@ -246,7 +298,7 @@
 		if !known || last == e.Want {
 			continue // a word that does not move is none: it may be left from long ago
 		}
-		if now >= l.since+holdLeast && moves.Take(now) {
+		if (e.WantHand || now >= l.since+holdLeast) && moves.Take(now) {
 			return Release
 		}
 	}
@@ -283,19 +335,27 @@
 	return true
 }
 
-const retiredMark = ".retired"
+const (
+	retiredMark = ".retired"
+	handMark    = ".hand"
+)
 
-// String prints an entry's value as it stands at proxies: EPOCH.BEAT, the epoch in base 36, and whether its governor is retired.
+// String prints an entry's value as it stands at proxies: EPOCH.BEAT, the epoch in base 36, and whether its governor is retired or was
+// given the proxy by hand.
 func (e Entry) String() string {
 	text := strconv.FormatUint(e.Epoch, 36) + "." + strconv.FormatUint(e.Beat, 10)
 	if e.Retired {
 		text += retiredMark
 	}
+	if e.Hand {
+		text += handMark
+	}
 	return text
 }
 
 // ParseEntry reads the value of a governor's entry. What makes no sense holds nothing, whoever wrote it.
 func ParseEntry(governor, value string) Entry {
+	value, hand := strings.CutSuffix(value, handMark)
 	value, retired := strings.CutSuffix(value, retiredMark)
 	epoch, beat, ok := strings.Cut(value, ".")
 	e, err := strconv.ParseUint(epoch, 36, 64)
@@ -303,5 +363,5 @@
 	if !ok || err != nil || err2 != nil {
 		return Entry{Governor: governor}
 	}
-	return Entry{Governor: governor, Epoch: e, Beat: b, Retired: retired}
+	return Entry{Governor: governor, Epoch: e, Beat: b, Retired: retired, Hand: hand}
 }
--- a/cmd/cressknot/main.go
+++ b/cmd/cressknot/main.go
@@ -58,7 +58,7 @@
 		SilenceErrors: true, SilenceUsage: true, Version: serve.Version,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage{err} })
-	root.AddCommand(serveCommand(), checkCommand(), showCommand(), topCommand(), explainCommand(), guardCommand(), tableCommand(), storeCommand(), retireCommand(), rollingCommand(), replayCommand(),
+	root.AddCommand(serveCommand(), checkCommand(), showCommand(), topCommand(), explainCommand(), guardCommand(), tableCommand(), storeCommand(), retireCommand(), takeCommand(), planCommand(), rollingCommand(), replayCommand(),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: args(cobra.NoArgs),
 			Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), serve.Version) }})
 	return root
@@ -132,9 +132,9 @@
 }
 
 func showCommand() *cobra.Command {
-	c := &cobra.Command{Use: "show info|servers|tables|proxies|orders|log|refusals|doubts|members [proxies]|reports|intake|series SERVER [MINUTES]",
+	c := &cobra.Command{Use: "show info|servers|tables|proxies|orders|log|refusals|doubts|peers|members [proxies]|reports|intake|series SERVER [MINUTES]",
 		Short:     "Show what a running governor holds",
-		ValidArgs: []string{"info", "servers", "tables", "proxies", "orders", "log", "refusals", "doubts", "members", "reports", "intake", "series"}}
+		ValidArgs: []string{"info", "servers", "tables", "proxies", "orders", "log", "refusals", "doubts", "peers", "members", "reports", "intake", "series"}}
 	stale := c.Flags().Bool("stale", false, "with reports: only servers and proxies that something is wrong with")
 	c.Args = args(func(c *cobra.Command, a []string) error {
 		switch {
--- a/cmd/cressknot/sharing.go
+++ b/cmd/cressknot/sharing.go
@@ -6,10 +6,14 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"cressknot/assign"
+	"cressknot/config"
 	"cressknot/rolling"
 )
 
@@ -38,6 +42,61 @@
 	return c
 }
 
+func takeCommand() *cobra.Command {
+	c := &cobra.Command{Use: "take PROXY on|off", Short: "Move a proxy to a governor by hand, or end that",
+		Long: `Ask the governor that is to have the proxy. It keeps it, though the plan has another one, until 'off' or
+its restart; when it dies the others take the proxy as any.`,
+		Args: args(cobra.ExactArgs(2))}
+	socket := socketFlag(c)
+	c.RunE = func(c *cobra.Command, a []string) error {
+		return ask(c.OutOrStdout(), socket, "take", a[0], a[1])
+	}
+	return c
+}
+
+func planCommand() *cobra.Command {
+	c := &cobra.Command{Use: "plan FILE", Short: "Print which governor should serve which proxy, from settings, offline",
+		Args: args(cobra.ExactArgs(1))}
+	without := c.Flags().StringSlice("without", nil, "governors that are left out: the plan then, and how many proxies move")
+	with := c.Flags().StringSlice("with", nil, "governors that are added: the same")
+	c.RunE = func(c *cobra.Command, a []string) error {
+		s, err := config.Load(a[0])
+		if err != nil {
+			return err
+		}
+		if len(s.Sharing.Governors) == 0 {
+			return fmt.Errorf("%s: sharing.governors names nobody", a[0])
+		}
+		for _, g := range *without {
+			if !slices.Contains(s.Sharing.Governors, g) {
+				return usage{fmt.Errorf("--without: %q is none of %s", g, strings.Join(s.Sharing.Governors, ", "))}
+			}
+		}
+		governors := slices.DeleteFunc(append(slices.Clone(s.Sharing.Governors), *with...), func(g string) bool { return slices.Contains(*without, g) })
+		if len(governors) == 0 {
+			return usage{errors.New("nobody is left")}
+		}
+		shares := s.Shares()
+		before, after := assign.Plan(shares, s.Sharing.Governors), assign.Plan(shares, governors)
+		visits, proxies, moved := map[string]float64{}, map[string]int{}, 0
+		for _, p := range shares {
+			g := after[p.Proxy][0]
+			proxies[g]++
+			visits[g] += p.Visits
+			if before[p.Proxy][0] != g {
+				moved++
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%s %s\n", p.Proxy, strings.Join(after[p.Proxy], " "))
+		}
+		for _, g := range governors {
+			fmt.Fprintf(c.OutOrStdout(), "# %s: %d proxies, %.1f visits a second\n", g, proxies[g], visits[g])
+		}
+		fmt.Fprintf(c.OutOrStdout(), "# %d of %d proxies move\n", moved, len(shares))
+		return nil
+	}
+	return c
+}
+
 func rollingCommand() *cobra.Command {
 	c := &cobra.Command{Use: "rolling --sockets A,B,... -- COMMAND [ARG ...]", Short: "Restart governors one after the other, each when that is safe",
 		Long: `For each governor in turn: wait until every proxy has a governor, let this one hand its proxies on, run
--- a/config/config.go
+++ b/config/config.go
@@ -20,6 +20,7 @@
 	cueformat "cuelang.org/go/cue/format"
 	"cuelang.org/go/encoding/yaml"
 
+	"cressknot/assign"
 	"cressknot/fleet"
 	"cressknot/front"
 )
@@ -479,6 +480,14 @@
 	return all
 }
 
+// Shares gives the proxies as governors plan who serves them.
+func (s *Settings) Shares() (all []assign.Share) {
+	for _, p := range s.Proxies {
+		all = append(all, assign.Share{Proxy: p.Name, Visits: p.Visits})
+	}
+	return all
+}
+
 // Backends gives how the classes are called at proxies.
 func (s *Settings) Backends() []front.Class {
 	var all []front.Class
--- a/front/front.go
+++ b/front/front.go
@@ -90,6 +90,8 @@
 type Sharer interface {
 	// Retire hands on all proxies and takes none that another governor would, or ends that.
 	Retire(on bool)
+	// Take lets this governor have a proxy, whoever should by the plan, or ends that; false: no such proxy is shared.
+	Take(id fleet.ProxyID, on bool) bool
 	// Holders tells who serves each proxy.
 	Holders() []Holder
 }
--- a/front/haproxy/lease.go
+++ b/front/haproxy/lease.go
@@ -7,11 +7,11 @@
 	"fmt"
 	"net"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
 	"cressknot/assign"
+	"cressknot/fleet"
 	"cressknot/front"
 	"cressknot/runtimeapi"
 	"cressknot/steer"
@@ -35,24 +35,26 @@
 // entries reads what governors have written.
 func entries(text []byte) (all []assign.Entry, keys map[string]bool, err error) {
 	keys = map[string]bool{}
-	wants := map[string]uint64{}
+	wants := map[string]string{}
 	err = runtimeapi.ReadMap(text, func(key, value []byte) error {
 		k := string(key)
 		if g, is := strings.CutPrefix(k, leaseKey); is {
 			all = append(all, assign.ParseEntry(g, string(value)))
 			keys[k] = true
 		} else if g, is := strings.CutPrefix(k, wantKey); is {
-			wants[g], _ = strconv.ParseUint(string(value), 10, 64)
+			wants[g] = string(value)
 			keys[k] = true
 		}
 		return nil
 	})
 	for i := range all {
-		all[i].Want = wants[all[i].Governor]
+		all[i].Want, all[i].WantHand = assign.ParseWant(wants[all[i].Governor])
 		delete(wants, all[i].Governor)
 	}
 	for g, w := range wants {
-		all = append(all, assign.Entry{Governor: g, Want: w})
+		e := assign.Entry{Governor: g}
+		e.Want, e.WantHand = assign.ParseWant(w)
+		all = append(all, e)
 	}
 	return all, keys, wrap("show map", err)
 }
@@ -146,7 +148,7 @@
 			s.out = append(s.out, "show sess\n"...)
 			s.expect = append(s.expect, expectation{what: toRivals})
 		case assign.Want:
-			s.put(wantKey+l.front.opt.Me, strconv.FormatUint(l.lease.Ask(), 10), toBeat)
+			s.put(wantKey+l.front.opt.Me, l.lease.Ask(), toBeat)
 		}
 		if act != assign.Claim {
 			s.again = time.AfterFunc(time.Duration(max(1, again-now)), s.lookAgain)
@@ -170,7 +172,7 @@
 		case assign.Lost:
 			return nil, errLost
 		case assign.Release:
-			s.release()
+			s.release(l.lease.Leave(false))
 		}
 	case toBid, toBeat:
 		if string(text) == runtimeapi.NoKey { // somebody took it away
@@ -241,11 +243,10 @@
 	return s.out
 }
 
-// release sends nothing more and takes our entry away, after all that was sent: the proxy reads in order.
-func (s *session) release() {
+// release sends nothing more and writes that we hold it no more, after all that was sent: the proxy reads in order.
+func (s *session) release(left assign.Entry) {
 	s.handing = true
-	s.out = append(runtimeapi.AppendCommand(s.out, "del", "map", s.link.front.opt.Map, leaseKey+s.link.front.opt.Me), '\n')
-	s.expect = append(s.expect, expectation{what: toHandOn})
+	s.put(leaseKey+s.link.front.opt.Me, left.String(), toHandOn)
 }
 
 // handOn lets another governor have the proxy, as this one stops.
@@ -257,7 +258,10 @@
 	}
 	s.arm()
 	s.out = s.out[:0]
-	s.release()
+	s.link.leasing.Lock()
+	left := s.link.lease.Leave(true)
+	s.link.leasing.Unlock()
+	s.release(left)
 	s.flush()
 }
 
@@ -272,6 +276,18 @@
 	}
 }
 
+// Take lets this governor have a proxy by hand, or ends that; false: no such proxy is shared.
+func (f *Front) Take(id fleet.ProxyID, on bool) bool {
+	l := f.links[id]
+	if l == nil || l.lease == nil {
+		return false
+	}
+	l.leasing.Lock()
+	defer l.leasing.Unlock()
+	l.lease.Take(on)
+	return true
+}
+
 // Holders tells who serves each proxy, by id.
 func (f *Front) Holders() (all []front.Holder) {
 	for id, l := range f.links {
--- a/governor/operators.go
+++ b/governor/operators.go
@@ -105,6 +105,7 @@
 		{[]string{"table"}, "history|show|diff|rollback|pin|unpin T ..., proxies: versions of a table", (*Operators).tableCommand, true},
 		{[]string{"show", "members"}, "[proxies]: governors that share the proxies, and who serves which", (*Operators).showMembers, false},
 		{[]string{"show", "peers"}, "other governors that are heard, and what their news change", (*Operators).showPeers, false},
+		{[]string{"take"}, "<proxy> on|off: have a proxy by hand, whoever should by the plan, or end that", (*Operators).take, false},
 		{[]string{"retire"}, "on|off: hand all proxies on to other governors, or take its part again", (*Operators).retire, false},
 		{[]string{"help"}, "this list", func(o *Operators, c *Core, _ []string) string { return helpText() }, false},
 	}
--- a/governor/sharing.go
+++ b/governor/sharing.go
@@ -75,3 +75,22 @@
 	}
 	return "Takes its part of the proxies again.\n"
 }
+
+// take moves a proxy to this governor by hand, or ends that.
+func (o *Operators) take(c *Core, args []string) string {
+	if o.loop.sharing == nil {
+		return "This governor shares its proxies with no other one.\n"
+	}
+	if len(args) != 2 || args[1] != "on" && args[1] != "off" {
+		return "'take' expects a proxy's name, and on or off.\n"
+	}
+	for id, p := range c.proxies {
+		if p.Name == args[0] && o.loop.sharing.Take(id, args[1] == "on") {
+			if args[1] == "on" {
+				return "Asks for it; it is this governor's until 'take " + p.Name + " off', or a restart.\n"
+			}
+			return "It goes where the plan has it.\n"
+		}
+	}
+	return fmt.Sprintf("Refused: %.80q is no proxy that is shared.\n", args[0])
+}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -387,11 +387,7 @@
 		o := haproxy.Options{Proxies: proxies, Classes: s.Backends(), Map: s.Front.Map, Table: s.Front.Table, Admission: site.Admission, Names: names,
 			Me: s.Name, Clock: func() fleet.Time { return fleet.Time(time.Now().UnixNano()) }}
 		if len(s.Sharing.Governors) > 0 {
-			var shares []assign.Share
-			for _, p := range proxies {
-				shares = append(shares, assign.Share{Proxy: p.Name, Visits: p.Visits})
-			}
-			plan := assign.Plan(shares, s.Sharing.Governors)
+			plan := assign.Plan(s.Shares(), s.Sharing.Governors)
 			o.Lease = func(p front.Proxy) *assign.Lease { return assign.NewLease(s.Name, plan[p.Name]) }
 		}
 		return haproxy.New(o)
