Let a flood of news wait as the newest of each governor

Anybody who may speak could fill the governor's mailbox. Of each name only the newest waits, of 64 names at most (test first: 200,000 news of 200 names between two turns).

--- a/governor/dark_test.go
+++ b/governor/dark_test.go
@@ -13,6 +13,7 @@
 	"cressknot/fleet"
 	"cressknot/front"
 	"cressknot/list"
+	"cressknot/peers"
 	"cressknot/steer"
 )
 
@@ -187,3 +188,25 @@
 		s.Close()
 	}
 }
+
+// TestFloodOfNews: however many news come between two turns, of however many names, a turn takes the newest of each, of so many governors.
+func TestFloodOfNews(t *testing.T) {
+	l := NewLoop(Parts{Core: newDark(nil).core, Names: NewNames()})
+	for seq := range uint64(1000) {
+		for g := range 200 {
+			l.Peer(peers.News{Governor: fmt.Sprint("g", g), Epoch: 1, Seq: (seq*7)%1000 + 1})
+		}
+	}
+	inputs, _ := l.collect(0, 0)
+	if len(inputs) != peers.GovernorsMost {
+		t.Errorf("a turn takes %d", len(inputs))
+	}
+	for _, in := range inputs {
+		if in.(peers.News).Seq != 1000 {
+			t.Errorf("%+v is not the newest", in)
+		}
+	}
+	if inputs, _ = l.collect(0, 0); len(inputs) != 0 {
+		t.Error("taken twice")
+	}
+}
--- a/governor/loop.go
+++ b/governor/loop.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -61,6 +63,8 @@
 	pushed []intake.Record
 	inputs []Input
 	folded uint64
+	news   map[string]peers.News // of other governors, by name
+	shed   uint64                // of them, those that were not heard
 	notify chan struct{}
 	asks   chan func(*Core)
 
@@ -104,7 +108,7 @@
 // NewLoop makes a loop that Run runs.
 func NewLoop(p Parts) *Loop {
 	l := &Loop{core: p.Core, names: p.Names, front: p.Front, source: p.Source, log: p.Log, wall: time.Now(),
-		cache: p.Cache, probe: p.ProbePath, place: map[fleet.ProxyID]int{}, box: &intake.Box{}, notify: make(chan struct{}, 1),
+		cache: p.Cache, probe: p.ProbePath, place: map[fleet.ProxyID]int{}, news: map[string]peers.News{}, box: &intake.Box{}, notify: make(chan struct{}, 1),
 		asks: make(chan func(*Core)), took: hdrhistogram.New(1000, tookMost, 3)}
 	l.sharing, l.tell = p.Sharing, p.Tell
 	l.store, l.name, l.facts = p.Store, p.Name, p.Facts
@@ -160,8 +164,17 @@
 	return reply
 }
 
-// Peer takes in what another governor tells.
-func (l *Loop) Peer(n peers.News) { l.post(n) }
+// Peer takes in what another governor tells. Of each only the newest waits, and of so many governors: a flood fills no mailbox.
+func (l *Loop) Peer(n peers.News) {
+	l.mu.Lock()
+	if old, waits := l.news[n.Governor]; waits && n.Epoch == old.Epoch && n.Seq < old.Seq || !waits && len(l.news) >= peers.GovernorsMost {
+		l.shed++
+	} else {
+		l.news[n.Governor] = n
+	}
+	l.mu.Unlock()
+	l.wake()
+}
 
 // Note puts a line into the log.
 func (l *Loop) Note(level, from, text string) { l.say(Line{l.now(), level, from, text}) }
@@ -191,6 +204,10 @@
 		}
 	}
 	more = len(l.polled) > 0
+	for _, g := range slices.Sorted(maps.Keys(l.news)) {
+		inputs = append(inputs, l.news[g])
+		delete(l.news, g)
+	}
 	l.mu.Unlock()
 	if l.pushed = l.box.Take(pushed, l.pushed[:0]); len(l.pushed) > 0 {
 		inputs = append(inputs, Pushed(l.pushed))
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -99,3 +99,42 @@
 		t.Errorf("with another key: %v", other.Names())
 	}
 }
+
+// BenchmarkMembers lets so many governors join one at once, then tells once from each: how long it takes until all know all, and how many
+// bytes of news a second that is for all of them together, with ten servers and ten views in the news of each.
+func BenchmarkMembers(b *testing.B) {
+	for _, n := range []int{2, 4, 8, 16, 30} {
+		b.Run(fmt.Sprint("governors=", n), func(b *testing.B) {
+			for b.Loop() {
+				t := &testing.T{}
+				began := time.Now()
+				all := []*node{start(t, "g0", nil)}
+				for i := 1; i < n; i++ {
+					all = append(all, start(t, fmt.Sprint("g", i), nil, all[0].addr))
+				}
+				for _, m := range all {
+					for len(m.Names()) < n {
+						time.Sleep(5 * time.Millisecond)
+					}
+				}
+				took, sent := time.Since(began), uint64(0)
+				for i, m := range all {
+					news := peers.News{Governor: fmt.Sprint("g", i), Epoch: 1 << 60, Seq: 1}
+					for k := range 10 {
+						news.Servers = append(news.Servers, peers.Server{Name: fmt.Sprint("server-", k), State: fleet.Draining})
+						news.Views = append(news.Views, peers.View{Name: fmt.Sprint("server-", k), Tries: 90, Failed: 60})
+					}
+					m.Tell(news)
+					sent += m.Sent()
+				}
+				b.ReportMetric(took.Seconds(), "s_until_all_know_all")
+				b.ReportMetric(float64(sent)/1000, "kB/s")
+				for _, m := range all {
+					m.cancel()
+					m.done.Wait()
+					_ = m.list.Shutdown()
+				}
+			}
+		})
+	}
+}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -15,18 +15,19 @@
 )
 
 const (
-	TellEvery   = fleet.Second       // between two tellings: a drain's grace holds some of them
-	freshFor    = 5 * fleet.Second   // news of a peer count so long: five tellings missed
-	catchUp     = 2 * fleet.Second   // before a newer list of a peer counts: ours mostly comes by then
-	outMost     = 0.5                // of our servers that peers may keep visits from: more is trouble of theirs, as with lists
-	outFew      = 3                  // of few servers more may
-	serversMost = 2000               // of one telling: what is past it is not told
-	namesMost   = 256                // bytes
-	viewTries   = 8                  // tries that make a view: fewer are chance
-	badShare    = 0.5                // of them failed that make a bad one
-	viewFor     = 10 * fleet.Second  // that tries are looked back on
-	goneFor     = 600 * fleet.Second // that a server which left our list is told of: lists that lag do so by seconds
-	speakFor    = 60 * fleet.Second  // between two words to staff of one server
+	TellEvery     = fleet.Second       // between two tellings: a drain's grace holds some of them
+	freshFor      = 5 * fleet.Second   // news of a peer count so long: five tellings missed
+	catchUp       = 2 * fleet.Second   // before a newer list of a peer counts: ours mostly comes by then
+	outMost       = 0.5                // of our servers that peers may keep visits from: more is trouble of theirs, as with lists
+	outFew        = 3                  // of few servers more may
+	GovernorsMost = 64                 // that are heard at a time: twice as many as are meant to be
+	serversMost   = 2000               // of one telling: what is past it is not told
+	namesMost     = 256                // bytes
+	viewTries     = 8                  // tries that make a view: fewer are chance
+	badShare      = 0.5                // of them failed that make a bad one
+	viewFor       = 10 * fleet.Second  // that tries are looked back on
+	goneFor       = 600 * fleet.Second // that a server which left our list is told of: lists that lag do so by seconds
+	speakFor      = 60 * fleet.Second  // between two words to staff of one server
 )
 
 // Server is what a governor tells of a server: only of those that drain, are gone, or have started a while ago.
@@ -174,6 +175,10 @@
 		return nil // our own, come around
 	}
 	p := b.peers[n.Governor]
+	if p == nil && len(b.peers) >= GovernorsMost {
+		b.Refused++
+		return fmt.Errorf("news of governor %q: %d others are heard, which is the most", n.Governor, len(b.peers))
+	}
 	if p == nil {
 		p = &peer{}
 		b.peers[n.Governor] = p
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -163,6 +163,12 @@
 	if len(b.peers) != 0 || b.Refused != 4 {
 		t.Errorf("%d peers, %d refused", len(b.peers), b.Refused)
 	}
+	for i := range 1000 { // a flood of names
+		_ = b.Hear(now, News{Governor: fmt.Sprint("g", i), Epoch: 1, Seq: 1})
+	}
+	if len(b.peers) != GovernorsMost {
+		t.Errorf("%d peers are heard", len(b.peers))
+	}
 }
 
 // TestRandomNews: whatever news come late, twice or not at all, of whichever peers, with whatever lists: peers keep visits from no more than
