Make one queue with a type parameter of intake's two heaps

Both kept the same places by the same code; what differs is the order, which lines and proxies know themselves.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -50,12 +50,12 @@
 	at      fleet.Time
 	proxies map[fleet.ProxyID]*watched
 	left    map[fleet.ProxyID]*watched // that may come back with their counters
-	polls   polls
+	polls   queue[*watched]
 	rows    int                // of the last readings of all proxies
 	met     []map[uint32]*line // by zone, then by server
 	cover   []cover            // by zone
 	came    map[usageKey]*line // what came to proxies
-	due     dues               // lines that wait, by when they may be told
+	due     queue[*line]       // lines that wait, by when they may be told
 	servers []standing         // by server
 	totals  Totals
 	credit  float64
@@ -137,10 +137,10 @@
 		return
 	}
 	k.answered(w, r)
-	last, first := w.at, !w.read
-	w.at, w.read = r.At, true
+	last, first := w.since, !w.read
+	w.since, w.read = r.At, true
 	if !first && r.At < last+settleSpan {
-		w.at = last
+		w.since = last
 		return
 	}
 	if first || k.restarted(w, r) { // where counting starts
--- a/intake/polls.go
+++ b/intake/polls.go
@@ -17,7 +17,7 @@
 	sent  fleet.Time
 	rows  int // of its last reading
 	read  bool
-	at    fleet.Time // of the last reading
+	since fleet.Time // of the last reading
 	met   []reports.Met
 	came  []reports.Came
 	mute  bool // told as not answering
@@ -50,7 +50,7 @@
 	k.proxies[id] = w
 	k.zone(zone).proxies++
 	k.rows += w.rows
-	heap.Push(&k.polls, w)
+	k.polls.push(w)
 }
 
 // Leave ends that. What was summed is told all the same.
@@ -60,7 +60,7 @@
 		return
 	}
 	if delete(k.proxies, id); w.place >= 0 {
-		heap.Remove(&k.polls, w.place)
+		k.polls.remove(w)
 	}
 	k.zone(w.zone).proxies--
 	k.rows -= w.rows
@@ -80,7 +80,7 @@
 	k.at = max(k.at, now)
 	period := k.period()
 	for len(k.polls) > 0 && k.polls[0].next <= now {
-		w := heap.Pop(&k.polls).(*watched)
+		w := k.polls.pop()
 		w.sent = now
 		if w.next += period; w.next <= now { // asked late
 			w.next += ((now-w.next)/period + 1) * period
@@ -101,70 +101,68 @@
 		if period := k.period(); w.next <= k.at { // answered late: it keeps its place in the period, as all answers do that come at once after a stall
 			w.next += ((k.at-w.next)/period + 1) * period
 		}
-		heap.Push(&k.polls, w)
+		k.polls.push(w)
 	}
 }
 
-// polls is a heap of the proxies that are not being asked, by when they are next.
-type polls []*watched
+// placed is what a queue holds: it knows its order and its place.
+type placed[T any] interface {
+	before(T) bool
+	at() *int // its place, -1: it is in none
+}
+
+// queue is a heap of what waits, the first one first.
+type queue[T placed[T]] []T
 
-func (p polls) Len() int { return len(p) }
-func (p polls) Less(a, b int) bool {
-	return p[a].next < p[b].next || p[a].next == p[b].next && p[a].id < p[b].id
+func (q queue[T]) Len() int           { return len(q) }
+func (q queue[T]) Less(a, b int) bool { return q[a].before(q[b]) }
+func (q queue[T]) Swap(a, b int) {
+	q[a], q[b] = q[b], q[a]
+	*q[a].at(), *q[b].at() = a, b
 }
-func (p polls) Swap(a, b int) {
-	p[a], p[b] = p[b], p[a]
-	p[a].place, p[b].place = a, b
+
+// Push and Pop are the library's; push, pop and remove are what to call.
+func (q *queue[T]) Push(x any) {
+	one := x.(T)
+	*one.at() = len(*q)
+	*q = append(*q, one)
 }
-func (p *polls) Push(x any) {
-	w := x.(*watched)
-	w.place = len(*p)
-	*p = append(*p, w)
+
+// Pop takes the last one off.
+func (q *queue[T]) Pop() any {
+	last := len(*q) - 1
+	one := (*q)[last]
+	clear((*q)[last:])
+	*q, *one.at() = (*q)[:last], -1
+	return one
 }
-func (p *polls) Pop() any {
-	last := len(*p) - 1
-	w := (*p)[last]
-	(*p)[last] = nil
-	*p, w.place = (*p)[:last], -1
-	return w
+
+func (q *queue[T]) push(one T)   { heap.Push(q, one) }
+func (q *queue[T]) pop() T       { return heap.Pop(q).(T) }
+func (q *queue[T]) remove(one T) { heap.Remove(q, *one.at()) }
+
+func (w *watched) at() *int { return &w.place }
+
+// before orders proxies by when they are asked next.
+func (w *watched) before(o *watched) bool {
+	return w.next < o.next || w.next == o.next && w.id < o.id
 }
 
-// dues is a heap of the lines that wait, by when each may be told; of those due at once the order is fixed.
-type dues []*line
+func (l *line) at() *int { return &l.place }
 
-func (d dues) Len() int { return len(d) }
-func (d dues) Less(a, b int) bool {
-	x, y := d[a], d[b]
+// before orders lines by when they may be told; of those due at once the order is fixed.
+func (l *line) before(o *line) bool {
 	switch {
-	case x.dueAt != y.dueAt:
-		return x.dueAt < y.dueAt
-	case x.usage != y.usage:
-		return y.usage
-	case x.server != y.server:
-		return x.server < y.server
-	case x.zone != y.zone:
-		return x.zone < y.zone
-	case x.key.proxy != y.key.proxy:
-		return x.key.proxy < y.key.proxy
+	case l.dueAt != o.dueAt:
+		return l.dueAt < o.dueAt
+	case l.usage != o.usage:
+		return o.usage
+	case l.server != o.server:
+		return l.server < o.server
+	case l.zone != o.zone:
+		return l.zone < o.zone
+	case l.key.proxy != o.key.proxy:
+		return l.key.proxy < o.key.proxy
 	}
-	return x.key.class < y.key.class
-}
-func (d dues) Swap(a, b int) {
-	d[a], d[b] = d[b], d[a]
-	d[a].place, d[b].place = a, b
-}
-func (d *dues) Push(x any) {
-	l := x.(*line)
-	l.place = len(*d)
-	*d = append(*d, l)
+	return l.key.class < o.key.class
 }
-func (d *dues) Pop() any {
-	last := len(*d) - 1
-	l := (*d)[last]
-	(*d)[last] = nil
-	*d, l.place = (*d)[:last], -1
-	return l
-}
-
-func (d *dues) push(l *line) { heap.Push(d, l) }
-func (d *dues) pop() *line   { return heap.Pop(d).(*line) }
--- a/intake/silence.go
+++ b/intake/silence.go
@@ -329,7 +329,7 @@
 	if w == nil || !w.read {
 		return 0, k.period(), false
 	}
-	return now - w.at, k.period(), true
+	return now - w.since, k.period(), true
 }
 
 // Distrusted tells until when a server's reports are not believed, 0: they are.
