Never let versions at a proxy go back when an earlier governor takes it over

A governor that started earlier than the one before stamped older versions at the proxies that it took over, so that order of versions, by which staff and proxies tell newer from older, was gone.

A proxy that is found to hold a version of a later epoch begins a new epoch after it, for all tables, kept on disk; one that no clock could have made changes nothing. Governors of another major version are named and told nothing.

--- a/governor/core.go
+++ b/governor/core.go
@@ -26,6 +26,7 @@
 const (
 	logKept    = 512              // lines kept for "show log" and "explain": some minutes of a rough day
 	ordersKept = 512              // orders kept for "show orders"
+	lastEpoch  = 1 << 62          // no clock shows it in a hundred years: a proxy that holds such a version has been changed by hand
 	idleMost   = fleet.Second / 4 // longest time without a turn: sweeps and marks of slow proxies wait no longer
 )
 
@@ -184,6 +185,18 @@
 	c.plane.Epoch(epoch, func(id fleet.ServerID) string { name, _ := c.names.Of(id); return name })
 }
 
+// after begins a new epoch where a proxy that is taken over holds versions of a later one: versions at a proxy never go back, though a
+// governor that started earlier serves it now.
+func (c *Core) after(now fleet.Time, epoch uint64, out *Output) {
+	if epoch <= c.epoch || epoch >= lastEpoch {
+		return
+	}
+	c.begin(epoch + 1)
+	if c.keeper.on {
+		out.Keep = append(out.Keep, store.Change{Key: "epoch", Value: keptEpoch{c.epoch, now}})
+	}
+}
+
 // Turn takes in what came and gives what is to be done now.
 func (c *Core) Turn(now fleet.Time, inputs []Input) Output {
 	if c.started < 0 {
@@ -261,7 +274,7 @@
 	}
 	if out.List != nil {
 		out.ListAt, c.listKept = c.confirmed, c.confirmed
-		out.Keep = c.keepList(out.ListAt, out.List)
+		out.Keep = append(out.Keep, c.keepList(out.ListAt, out.List)...)
 	}
 	out.Keep = append(out.Keep, c.keep()...)
 	return out
@@ -284,6 +297,7 @@
 	switch in := in.(type) {
 	case front.Up:
 		c.streams[in.Proxy] = in.Stream
+		c.after(now, steer.LatestEpoch(in.Held.Stamps), out)
 		delete(c.unreached, in.Proxy)
 		c.plane.Join(now, in.Proxy, in.Held)
 		c.intake.Join(now, in.Proxy, in.Held.Zone, in.Held.Fresh)
--- a/governor/dark_test.go
+++ b/governor/dark_test.go
@@ -15,6 +15,7 @@
 	"cressknot/list"
 	"cressknot/peers"
 	"cressknot/steer"
+	"cressknot/tables"
 )
 
 // dark is a core with two proxies that join fresh, on time of its own. Servers answer asks if they are up; proxies take what they
@@ -210,3 +211,24 @@
 		t.Error("taken twice")
 	}
 }
+
+// TestVersionsNeverGoBack: a proxy that is taken over holds a version of a governor that started later: what it is told next is newer still,
+// and so is all that other proxies are told from then on. A version that no clock could have made changes nothing.
+func TestVersionsNeverGoBack(t *testing.T) {
+	d := newDark(nil)
+	d.turn(list.Update{Scope: fleet.ListFull, Doc: docOf(1, "s0", "s1")})
+	d.join()
+	d.run(d.now+8*fleet.Second, nil)
+	before := d.core.plane.Book(0).Version()
+	later := tables.Version{Epoch: before.Epoch + 5_000_000_000, Count: 7}
+	d.turn(front.Up{Proxy: 1, Stream: 1, Held: steer.Snapshot{Weight: 5, Stamps: []string{later.String() + "/00"}}})
+	d.core.plane.Push(d.now, 0, 0, 9, d.now+fleet.Second)
+	if v := d.core.plane.Book(0).Version(); v.Compare(later) <= 0 {
+		t.Errorf("%s follows %s at the proxy", v, later)
+	}
+	epoch := d.core.epoch
+	d.turn(front.Up{Proxy: 1, Stream: 1, Held: steer.Snapshot{Weight: 5, Stamps: []string{tables.Version{Epoch: 1<<64 - 1, Count: 7}.String() + "/00", "x"}}})
+	if d.core.epoch != epoch {
+		t.Errorf("epoch %d by a version that nobody made", d.core.epoch)
+	}
+}
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -99,6 +99,8 @@
 	epochs   map[string]uint64      // of the latest governor whose command a proxy followed
 	orders   int
 	mixed    []Break // commands of a governor after those of a later one
+	versions int
+	backs    []Break
 	bare     []bareSpan
 	open     map[[2]string]int // index of the bare span that lasts
 	sessions []session
@@ -295,6 +297,7 @@
 	RuleCold  = "no cold server pushed over"
 	RuleQueue = "a short queue"
 	RuleOne   = "one governor at a time" // judged where several may serve a proxy
+	RuleBack  = "versions never go back" // of a table at a proxy
 )
 
 // Judge judges what was seen until now.
@@ -305,9 +308,21 @@
 	if w.orders > 0 {
 		all = append(all, Verdict{Rule: RuleOne, Tried: w.orders, Breaks: w.mixed, Seen: fmt.Sprintf("%d commands at %d proxies", w.orders, len(w.epochs))})
 	}
+	if w.versions > 0 {
+		all = append(all, Verdict{Rule: RuleBack, Tried: w.versions, Breaks: w.backs, Seen: fmt.Sprintf("%d versions told", w.versions)})
+	}
 	return all
 }
 
+// Version tells that a proxy was told a version, and whether it is older than the one before.
+func (w *Watch) Version(proxy, key, version string, older bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.versions++; older {
+		w.backs = append(w.backs, Break{RuleBack, w.now(), fmt.Sprintf("proxy %s: %s went back to %s", proxy, key, version)})
+	}
+}
+
 // history gives what a governor was told of a node, in order.
 func (w *Watch) history(governor, node string) []telling {
 	var h []telling
--- a/internal/standin/proxy.go
+++ b/internal/standin/proxy.go
@@ -311,6 +311,20 @@
 	epoch    uint64
 }
 
+// older tells whether a version, EPOCH.COUNT/DIGEST with the epoch in base 36, is older than another one.
+func older(version, than string) bool {
+	read := func(text string) (epoch, count uint64) {
+		e, rest, _ := strings.Cut(text, ".")
+		c, _, _ := strings.Cut(rest, "/")
+		epoch, _ = strconv.ParseUint(e, 36, 64)
+		count, _ = strconv.ParseUint(c, 10, 64)
+		return epoch, count
+	}
+	e, c := read(version)
+	te, tc := read(than)
+	return e < te || e == te && c < tc
+}
+
 // lease notes whose session it is that writes a governor's entry.
 func (c *control) lease(key, value string) {
 	if g, is := strings.CutPrefix(key, "cressknot.lease."); is {
@@ -494,6 +508,9 @@
 		if !known {
 			p.order = append(p.order, words[1])
 		}
+		if strings.HasSuffix(words[1], ".version") {
+			p.watch.Version(p.Name, words[1], words[2], older(words[2], p.levels[words[1]]))
+		}
 		p.levels[words[1]] = words[2]
 		of.lease(words[1], words[2])
 		return nil
--- a/members/members.go
+++ b/members/members.go
@@ -43,6 +43,7 @@
 	News   func(peers.News)
 	Wrong  func(error) // what can't be read, and from whom
 	Change func(name string, here bool)
+	major  int // of the protocol, for tests; 0: this program's
 }
 
 type meta struct {
@@ -75,6 +76,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("members: port of %q: %w", o.Listen, err)
 	}
+	if o.major == 0 {
+		o.major = Major
+	}
 	m := &Members{opt: o}
 	cfg := memberlist.DefaultLANConfig()
 	cfg.Name, cfg.BindAddr, cfg.BindPort, cfg.AdvertiseAddr, cfg.AdvertisePort = o.Name, host, int(n), host, int(n)
@@ -117,7 +121,7 @@
 	m.mu.Unlock()
 	limit := make(chan struct{}, sendAtOnce)
 	for _, node := range m.list.Members() {
-		if node.Name == m.opt.Name || !speaks(node) {
+		if node.Name == m.opt.Name || !m.speaks(node) {
 			continue
 		}
 		m.mu.Lock()
@@ -135,9 +139,10 @@
 	}
 }
 
-func speaks(node *memberlist.Node) bool {
+// speaks tells whether a governor speaks our major version.
+func (m *Members) speaks(node *memberlist.Node) bool {
 	var v meta
-	return json.Unmarshal(node.Meta, &v) == nil && v.Major == Major
+	return json.Unmarshal(node.Meta, &v) == nil && v.Major == m.opt.major
 }
 
 // Sent tells how many bytes of news were sent.
@@ -163,7 +168,7 @@
 }
 
 func (d *delegate) NodeMeta(limit int) []byte {
-	text, _ := json.Marshal(meta{Major, Minor})
+	text, _ := json.Marshal(meta{d.m.opt.major, Minor})
 	return text
 }
 
@@ -200,8 +205,12 @@
 }
 
 func (e *events) NotifyJoin(n *memberlist.Node) {
-	if n.Name != e.m.opt.Name {
-		e.m.opt.Change(n.Name, true)
+	if n.Name == e.m.opt.Name {
+		return
+	}
+	e.m.opt.Change(n.Name, true)
+	if !e.m.speaks(n) {
+		e.m.opt.Wrong(fmt.Errorf("members: governor %q speaks another version: %.60q; it is told nothing", n.Name, n.Meta))
 	}
 }
 
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -25,6 +25,11 @@
 }
 
 func start(t *testing.T, name string, key []byte, join ...string) *node {
+	t.Helper()
+	return startAs(t, 0, name, key, join...)
+}
+
+func startAs(t *testing.T, major int, name string, key []byte, join ...string) *node {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -32,7 +37,7 @@
 	}
 	n := &node{addr: l.Addr().String()}
 	l.Close()
-	n.Members, err = Start(Options{Name: name, Listen: n.addr, Join: join, Key: key, Change: func(string, bool) {},
+	n.Members, err = Start(Options{Name: name, Listen: n.addr, Join: join, Key: key, major: major, Change: func(string, bool) {},
 		News: func(got peers.News) {
 			n.mu.Lock()
 			n.news = append(n.news, got)
@@ -100,6 +105,24 @@
 	}
 }
 
+// TestAnotherMajorVersion: a governor of another version is here, is told nothing, and that is said.
+func TestAnotherMajorVersion(t *testing.T) {
+	a := start(t, "a", nil)
+	b := startAs(t, 2, "b", nil, a.addr)
+	defer a.Close()
+	defer b.Close()
+	until(t, "they don't find each other", func() bool { return len(a.Names()) == 2 && len(b.Names()) == 2 })
+	until(t, "nothing is said", func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return len(a.wrong) == 1 && strings.Contains(a.wrong[0].Error(), `"b" speaks another version`)
+	})
+	a.Tell(peers.News{Governor: "a", Epoch: 1, Seq: 1})
+	if a.Sent() != 0 {
+		t.Error("it is told news that it can't read")
+	}
+}
+
 // BenchmarkMembers lets so many governors join one at once, then tells once from each: how long it takes until all know all, and how many
 // bytes of news a second that is for all of them together, with ten servers and ten views in the news of each.
 func BenchmarkMembers(b *testing.B) {
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -61,6 +61,9 @@
 	if got := counts(); got != "" {
 		t.Errorf("at once: %s", got)
 	}
+	if err := b.Hear(now, News{Governor: "a", Epoch: 5, Seq: 1, ListRev: 99}); err != nil || b.Old != 1 || b.peers["a"].news.ListRev != 9 {
+		t.Errorf("the same again: %v, %d old", err, b.Old)
+	}
 	for range 3 {
 		now += s
 		tell()
@@ -183,7 +186,7 @@
 			list := map[string]Own{}
 			for n := range own {
 				if rapid.IntRange(0, 7).Draw(t, "gone") > 0 {
-					list[n] = Own{State: fleet.ServerState(rapid.IntRange(0, 5).Draw(t, "state") / 5)}
+					list[n] = Own{State: fleet.ServerState(rapid.IntRange(0, 5).Draw(t, "state") / 5), Started: fleet.Time(rapid.IntRange(0, 1).Draw(t, "started")) * 999 * s}
 				}
 			}
 			return list
@@ -204,7 +207,7 @@
 					_ = b.Hear(now, late[rapid.IntRange(0, len(late)-1).Draw(t, "late")])
 				}
 			default:
-				if n, due := from.Tell(now, 0); due {
+				if n, due := from.Tell(now, 3600*s); due {
 					late = append(late, n)
 					if rapid.Bool().Draw(t, "arrives") {
 						_ = b.Hear(now, n)
--- a/steer/versions.go
+++ b/steer/versions.go
@@ -23,7 +23,25 @@
 
 // Epoch begins versions of tables in an epoch, with the names of servers that digests are made of. Without it tables
 // have none.
-func (p *Plane) Epoch(epoch uint64, name tables.Names) { p.epoch, p.name = epoch, name }
+func (p *Plane) Epoch(epoch uint64, name tables.Names) {
+	p.epoch, p.name = epoch, name
+	for _, t := range p.tables {
+		if t.book != nil {
+			t.book.Begin(epoch)
+		}
+	}
+}
+
+// LatestEpoch gives the epoch of the newest version that a proxy was found to hold, 0 for none.
+func LatestEpoch(stamps []string) (epoch uint64) {
+	for _, s := range stamps {
+		text, _, _ := strings.Cut(s, "/")
+		if v, err := tables.ParseVersion(text); err == nil {
+			epoch = max(epoch, v.Epoch)
+		}
+	}
+	return epoch
+}
 
 // published gives what proxies are to hold of a line's weight: what staff have set, else what the table is pinned to, else
 // what the module wants.
--- a/tables/tables.go
+++ b/tables/tables.go
@@ -161,6 +161,9 @@
 	return t, nil
 }
 
+// Begin lets versions from here on be of an epoch, if that is later.
+func (t *Table) Begin(epoch uint64) { t.epoch = max(t.epoch, epoch) }
+
 // Version and Digest tell which table this is.
 func (t *Table) Version() Version { return t.version }
 
