Tell a later version at once when a proxy is taken over by an earlier governor

The new epoch began with the next change only: what the proxy was told at its takeover was older still.

A table goes on in the later epoch at once, as a version of the same lines; ways from versions before lead there.

--- a/governor/core.go
+++ b/governor/core.go
@@ -191,7 +191,8 @@
 	if epoch <= c.epoch || epoch >= lastEpoch {
 		return
 	}
-	c.begin(epoch + 1)
+	c.epoch = epoch + 1
+	c.plane.Raise(now, c.epoch, "a proxy holds versions of a later governor")
 	if c.keeper.on {
 		out.Keep = append(out.Keep, store.Change{Key: "epoch", Value: keptEpoch{c.epoch, now}})
 	}
--- a/governor/dark_test.go
+++ b/governor/dark_test.go
@@ -222,6 +222,9 @@
 	before := d.core.plane.Book(0).Version()
 	later := tables.Version{Epoch: before.Epoch + 5_000_000_000, Count: 7}
 	d.turn(front.Up{Proxy: 1, Stream: 1, Held: steer.Snapshot{Weight: 5, Stamps: []string{later.String() + "/00"}}})
+	if v := d.core.plane.Book(0).Version(); v.Compare(later) <= 0 {
+		t.Errorf("%s is what the proxy is told, %s is what it holds", v, later)
+	}
 	d.core.plane.Push(d.now, 0, 0, 9, d.now+fleet.Second)
 	if v := d.core.plane.Book(0).Version(); v.Compare(later) <= 0 {
 		t.Errorf("%s follows %s at the proxy", v, later)
--- a/steer/versions.go
+++ b/steer/versions.go
@@ -23,11 +23,14 @@
 
 // Epoch begins versions of tables in an epoch, with the names of servers that digests are made of. Without it tables
 // have none.
-func (p *Plane) Epoch(epoch uint64, name tables.Names) {
-	p.epoch, p.name = epoch, name
-	for _, t := range p.tables {
-		if t.book != nil {
-			t.book.Begin(epoch)
+func (p *Plane) Epoch(epoch uint64, name tables.Names) { p.epoch, p.name = epoch, name }
+
+// Raise goes on in a later epoch, with all tables as they are.
+func (p *Plane) Raise(now fleet.Time, epoch uint64, why string) {
+	p.epoch = epoch
+	for _, id := range p.tableIDs() {
+		if t := p.tables[id]; t.book != nil {
+			t.book.Begin(now, epoch, why)
 		}
 	}
 }
--- a/tables/tables.go
+++ b/tables/tables.go
@@ -161,8 +161,19 @@
 	return t, nil
 }
 
-// Begin lets versions from here on be of an epoch, if that is later.
-func (t *Table) Begin(epoch uint64) { t.epoch = max(t.epoch, epoch) }
+// Begin makes a version of an epoch, if that is later, of the same lines: what is told from here on comes after all of epochs before.
+func (t *Table) Begin(now fleet.Time, epoch uint64, why string) {
+	if epoch <= max(t.epoch, t.version.Epoch) {
+		return
+	}
+	clear(t.plans)
+	from := t.version
+	if t.epoch, t.version = epoch, (Version{Epoch: epoch}); from.Count > 0 { // one without lines has no version yet
+		t.version.Count = 1
+		t.history = append(t.history, Delta{From: from, To: t.version, FromDigest: t.digest, ToDigest: t.digest, At: now, Why: why})
+		t.trim(now)
+	}
+}
 
 // Version and Digest tell which table this is.
 func (t *Table) Version() Version { return t.version }
--- a/tables/tables_test.go
+++ b/tables/tables_test.go
@@ -421,3 +421,32 @@
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "B/version")
 	runtime.KeepAlive(t)
 }
+
+// TestLaterEpoch: a table that goes on in a later epoch has the same lines under a newer version; ways from versions before lead there,
+// earlier versions are there to go back to, and what was kept of it adds up.
+func TestLaterEpoch(t *testing.T) {
+	b := New(5, name, Bounds{1000, 1 << 60})
+	if b.Begin(1, 7, "later"); b.Version() != (Version{Epoch: 7}) {
+		t.Errorf("an empty one has version %s", b.Version())
+	}
+	b.Change(2, []Line{{Server: 1, Weight: 9}, {Server: 2, Weight: 4}}, "")
+	first, digest := b.Version(), b.Digest()
+	if b.Begin(3, 6, "earlier"); b.Version() != first {
+		t.Errorf("an earlier epoch: %s", b.Version())
+	}
+	b.Begin(3, 20, "later")
+	if b.Version() != (Version{20, 1}) || b.Digest() != digest {
+		t.Errorf("%s, %s", b.Version(), b.Digest())
+	}
+	b.Change(4, []Line{{Server: 2, Weight: 0}}, "")
+	if d, err := b.Fold(first); err != nil || len(d.Lines) != 1 || b.Version() != (Version{20, 2}) {
+		t.Errorf("%+v %v at %s", d, err, b.Version())
+	}
+	if lines, err := b.At(first); err != nil || len(lines) != 2 {
+		t.Errorf("%v %v", lines, err)
+	}
+	kept, err := Restore(21, name, Bounds{1000, 1 << 60}, b.Version(), b.Digest(), b.Lines(), b.History())
+	if err != nil || len(kept.History()) != 3 {
+		t.Errorf("%v", err)
+	}
+}
