Keep the wires' bounds beside the decisions; give a test of lists a channel for each round

Tuned times and sizes of the service's wires, the client's, membership and lists stood in adapters.

They stand in service/, peers/ and boot/ now. TestServiceFailsAndComesBack hung once on a loaded machine: a poll of the round before, not yet known to be over at the server, took the change meant for the next one.

--- a/boot/trust.go
+++ b/boot/trust.go
@@ -14,6 +14,7 @@
 	leastTrust = 0.05                     // of a name of any age: it may still be tried
 	skewMost   = 60 * fleet.Second        // by which clocks of one place may differ: a list of later than that has no age
 	ConfirmGap = 30 * fleet.Second        // between two notes on disk that the list still stands: half of what counts as fresh
+	LookAgain  = 20 * fleet.Second        // at a list's file whose folder told of nothing: some file systems tell nothing at all
 	unknownAge = 24 * 3600 * fleet.Second // what staff are told then
 )
 
--- a/client/rpc/rpc.go
+++ b/client/rpc/rpc.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
@@ -18,12 +17,6 @@
 	"cressknot/tables"
 )
 
-const (
-	answerMost = 16 << 20 // bytes of an answer: 20,000 servers in 16 classes
-	pingAfter  = 5 * time.Second
-	pingWithin = 3 * time.Second
-)
-
 // New makes a client whose governors are asked over gRPC at host:port.
 func New(cfg client.Config) (*client.Client, error) { return client.New(cfg, Transport{}) }
 
@@ -43,8 +36,8 @@
 // Dial makes ready to ask; the connection itself is made by the first question.
 func (t Transport) Dial(_ context.Context, addr, caller string) (client.Conn, error) {
 	options := append([]grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(answerMost)),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingWithin}), grpc.WithNoProxy()}, t.Options...)
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(service.AnswerMost)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: service.PingAfter, Timeout: service.PingWithin}), grpc.WithNoProxy()}, t.Options...)
 	c, err := grpc.NewClient("passthrough:///"+addr, options...)
 	if err != nil {
 		return nil, &service.Fault{Code: service.Unreachable, Text: err.Error()}
--- a/list/list.go
+++ b/list/list.go
@@ -21,6 +21,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fsnotify/fsnotify"
 
+	"cressknot/boot"
 	"cressknot/fleet"
 	"cressknot/steer"
 )
@@ -28,7 +29,6 @@
 const (
 	sizeMost    = 64 << 20 // bytes of a list: 100,000 servers take some 15 MB
 	serversMost = 200_000
-	lookAgain   = 20 * time.Second // at a file whose folder told of nothing: some file systems tell nothing at all
 )
 
 // Server is one entry, as files and the service write it.
@@ -150,7 +150,7 @@
 	}
 	go func() {
 		defer w.Close()
-		look := time.NewTicker(lookAgain)
+		look := time.NewTicker(time.Duration(boot.LookAgain))
 		defer look.Stop()
 		f.read(false)
 		for {
--- a/list/list_test.go
+++ b/list/list_test.go
@@ -89,9 +89,10 @@
 func TestServiceFailsAndComesBack(t *testing.T) {
 	var down atomic.Bool
 	var asked atomic.Int64
-	change := make(chan struct{})
+	var changes atomic.Pointer[chan struct{}] // of each round its own: a poll of the round before may still wait at the server
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		asked.Add(1)
+		change := *changes.Load()
 		if down.Load() {
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
@@ -109,6 +110,8 @@
 	}))
 	defer s.Close()
 	for _, onRequest := range []bool{false, true} {
+		change := make(chan struct{})
+		changes.Store(&change)
 		ctx, cancel := context.WithCancel(context.Background())
 		updates := make(chan Update, 1024)
 		h := &HTTP{URL: s.URL + "/list?governor=g", Wait: 30 * fleet.Second, OnRequest: onRequest}
--- a/members/members.go
+++ b/members/members.go
@@ -19,15 +19,6 @@
 	"cressknot/peers"
 )
 
-const (
-	newsMost   = 1 << 20          // bytes of a peer's news
-	smallMost  = 1200             // bytes that go as one packet; larger news go over streams
-	joinEvery  = 2 * time.Second  // between tries to join while nobody else is there
-	leaveMost  = 2 * time.Second  // for a leave to be told
-	deadKeeps  = 30 * time.Second // a dead governor's name may be taken by a new process at another address
-	sendAtOnce = 16               // streams of one telling
-)
-
 // Protocol is the version of what governors tell each other: Major.Minor. Another major version is not listened to.
 const (
 	Major = 1
@@ -83,7 +74,7 @@
 	cfg := memberlist.DefaultLANConfig()
 	cfg.Name, cfg.BindAddr, cfg.BindPort, cfg.AdvertiseAddr, cfg.AdvertisePort = o.Name, host, int(n), host, int(n)
 	cfg.Delegate, cfg.Events, cfg.SecretKey = &delegate{m}, &events{m}, o.Key
-	cfg.DeadNodeReclaimTime = deadKeeps
+	cfg.DeadNodeReclaimTime = time.Duration(peers.DeadKeeps)
 	cfg.Logger = log.New(io.Discard, "", 0) // what matters comes as errors and changes
 	if m.list, err = memberlist.Create(cfg); err != nil {
 		return nil, fmt.Errorf("members: %w", err)
@@ -105,7 +96,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(joinEvery):
+		case <-time.After(time.Duration(peers.JoinEvery)):
 		}
 	}
 }
@@ -113,13 +104,13 @@
 // Tell sends our news to all that are here. It waits for no one of them.
 func (m *Members) Tell(n peers.News) {
 	text, err := json.Marshal(n)
-	if err != nil || len(text) > newsMost {
+	if err != nil || len(text) > peers.NewsMost {
 		return // peers bounds what there is to tell
 	}
 	m.mu.Lock()
 	m.newest = text
 	m.mu.Unlock()
-	limit := make(chan struct{}, sendAtOnce)
+	limit := make(chan struct{}, peers.SendAtOnce)
 	for _, node := range m.list.Members() {
 		if node.Name == m.opt.Name || !m.speaks(node) {
 			continue
@@ -127,7 +118,7 @@
 		m.mu.Lock()
 		m.sent += uint64(len(text))
 		m.mu.Unlock()
-		if len(text) <= smallMost {
+		if len(text) <= peers.SmallMost {
 			_ = m.list.SendBestEffort(node, text) // the next telling makes up for one that is lost
 			continue
 		}
@@ -164,7 +155,7 @@
 func (m *Members) Close() error {
 	m.cancel()
 	m.done.Wait()
-	return errors.Join(m.list.Leave(leaveMost), m.list.Shutdown())
+	return errors.Join(m.list.Leave(time.Duration(peers.LeaveWithin)), m.list.Shutdown())
 }
 
 func (d *delegate) NodeMeta(limit int) []byte {
@@ -177,8 +168,8 @@
 func (m *Members) take(text []byte) {
 	var n peers.News
 	err := error(nil)
-	if len(text) > newsMost {
-		err = fmt.Errorf("news of %d bytes, %d are the most", len(text), newsMost)
+	if len(text) > peers.NewsMost {
+		err = fmt.Errorf("news of %d bytes, %d are the most", len(text), peers.NewsMost)
 	} else if err = json.Unmarshal(text, &n); err == nil {
 		err = n.Check()
 	}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -30,6 +30,16 @@
 	speakFor      = 60 * fleet.Second  // between two words to staff of one server
 )
 
+// How news travel; package members carries them and decides nothing.
+const (
+	NewsMost    = 1 << 20           // bytes of a peer's news
+	SmallMost   = 1200              // bytes that go as one packet; larger news go over streams
+	SendAtOnce  = 16                // streams of one telling
+	JoinEvery   = 2 * fleet.Second  // between tries to join while nobody else is there
+	LeaveWithin = 2 * fleet.Second  // for a leave to be told
+	DeadKeeps   = 30 * fleet.Second // a dead governor's name may be taken by a new process at another address
+)
+
 // Server is what a governor tells of a server: only of those that drain, are gone, or have started a while ago.
 type Server struct {
 	Name    string            `json:"n"`
--- a/service/rpc/server.go
+++ b/service/rpc/server.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net"
-	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
@@ -16,15 +15,6 @@
 	"cressknot/service/rpc/pb"
 )
 
-const (
-	requestMost = 1 << 20          // bytes of a question: a batch of 4,096 servers takes some 300 kB
-	streamsMost = 2048             // of one connection
-	connectMost = 10 * time.Second // for a connection to become one of HTTP/2
-	idleMost    = 10 * time.Minute // a connection without a question
-	pingAfter   = 5 * time.Second  // of silence on a connection that has streams
-	pingWithin  = 3 * time.Second
-)
-
 // Server is the gRPC front of a service.
 type Server struct {
 	pb.UnimplementedGovernorServer
@@ -40,9 +30,9 @@
 		return nil, fmt.Errorf("service over gRPC: %w", err)
 	}
 	srv := &Server{service: s, addr: l.Addr().String()}
-	srv.grpc = grpc.NewServer(grpc.MaxRecvMsgSize(requestMost), grpc.MaxConcurrentStreams(streamsMost), grpc.ConnectionTimeout(connectMost),
-		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: idleMost, Time: pingAfter, Timeout: pingWithin}),
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingAfter / 2, PermitWithoutStream: true}))
+	srv.grpc = grpc.NewServer(grpc.MaxRecvMsgSize(service.RequestMost), grpc.MaxConcurrentStreams(service.StreamsMost), grpc.ConnectionTimeout(service.ConnectWithin),
+		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: service.IdleMost, Time: service.PingAfter, Timeout: service.PingWithin}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: service.PingAfter / 2, PermitWithoutStream: true}))
 	pb.RegisterGovernorServer(srv.grpc, srv)
 	go func() { _ = srv.grpc.Serve(l) }()
 	return srv, nil
--- a/service/text/server.go
+++ b/service/text/server.go
@@ -19,14 +19,6 @@
 	"cressknot/tables"
 )
 
-const (
-	idleMost   = 10 * time.Minute // a connection without a question
-	answerMost = 3 * time.Second  // for a question to the governor's loop
-	unsentMost = 64 << 20         // bytes that wait for one reader
-	askedMost  = 64               // commands of a connection that wait for their answers
-
-)
-
 // Server is the text front of a service.
 type Server struct {
 	service *service.Service
@@ -70,7 +62,7 @@
 		srv.network = "unix"
 	}
 	srv.pump = pump{due: map[*link]bool{}, wake: make(chan struct{}, 1), quit: make(chan struct{})}
-	srv.engine = nbio.NewEngine(nbio.Config{Name: "service", Network: srv.network, Addrs: []string{addr}, MaxWriteBufferSize: unsentMost,
+	srv.engine = nbio.NewEngine(nbio.Config{Name: "service", Network: srv.network, Addrs: []string{addr}, MaxWriteBufferSize: service.UnsentMost,
 		Listen: func(network, addr string) (net.Listener, error) {
 			l, err := runtimeapi.Listen(network, addr)
 			if err == nil {
@@ -80,7 +72,7 @@
 		}})
 	srv.engine.OnOpen(func(c *nbio.Conn) {
 		srv.links.Store(c, &link{server: srv, conn: c, name: origin(c)})
-		_ = c.SetReadDeadline(time.Now().Add(idleMost))
+		_ = c.SetReadDeadline(time.Now().Add(service.IdleMost))
 	})
 	srv.engine.OnData(func(c *nbio.Conn, data []byte) {
 		if l, ok := srv.links.Load(c); ok {
@@ -122,7 +114,7 @@
 }
 
 func (l *link) feed(data []byte) {
-	_ = l.conn.SetReadDeadline(time.Now().Add(idleMost))
+	_ = l.conn.SetReadDeadline(time.Now().Add(service.IdleMost))
 	err := l.requests.Feed(data, func(commands []runtimeapi.Command) error {
 		for _, c := range commands {
 			if err := l.ask(c); err != nil {
@@ -152,8 +144,8 @@
 	c.Payload = bytes.Clone(c.Payload)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.asked) >= askedMost {
-		return &runtimeapi.SyntaxError{At: c.At, What: fmt.Sprintf("over %d commands wait for their answers", askedMost)}
+	if len(l.asked) >= service.AskedMost {
+		return &runtimeapi.SyntaxError{At: c.At, What: fmt.Sprintf("over %d commands wait for their answers", service.AskedMost)}
 	}
 	if l.asked = append(l.asked, c); !l.answers {
 		l.answers = true
@@ -217,7 +209,7 @@
 		}
 		return true
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), answerMost)
+	ctx, cancel := context.WithTimeout(context.Background(), service.AskWithin)
 	defer cancel()
 	s := l.server.service
 	switch {
