Give a session its watchdog before it can be closed

A proxy's connection that closed before the session had begun found no timer to stop; the library swallowed the panic, and the session stayed locked: the front could not stop, and that proxy was never dialed again.

The timer is made with the session, and what comes from the far end waits until the session has begun.

--- a/front/haproxy/front.go
+++ b/front/haproxy/front.go
@@ -175,20 +175,31 @@
 		conn.Close()
 		return fmt.Errorf("proxy %s: %w", l.proxy.Name, err)
 	}
-	s := &session{link: l, conn: c, stream: l.front.streams.Add(1), keys: map[string]bool{}, before: before}
+	s := l.session(c, before)
+	s.mu.Lock() // until it has begun: a far end that speaks, or closes, before it was asked has to wait for that
 	l.front.sessions.Store(c, s)
 	l.mu.Lock()
 	l.current = s
 	l.mu.Unlock()
 	if _, err := l.front.engine.AddConn(c); err != nil {
+		s.mu.Unlock()
 		l.front.sessions.Delete(c)
 		c.Close()
 		return fmt.Errorf("proxy %s: %w", l.proxy.Name, err)
 	}
 	s.begin()
+	s.mu.Unlock()
 	return nil
 }
 
+// session makes a session that has not begun. Its watchdog is there from the first moment: a connection that closed before the session had
+// begun found none, and left the session locked for ever.
+func (l *link) session(c *nbio.Conn, before *session) *session {
+	s := &session{link: l, conn: c, stream: l.front.streams.Add(1), keys: map[string]bool{}, before: before}
+	s.watchdog = time.AfterFunc(l.front.answerWithin, s.late)
+	return s
+}
+
 func (f *Front) session(id fleet.ProxyID) *session {
 	l := f.links[id]
 	if l == nil {
--- a/front/haproxy/session.go
+++ b/front/haproxy/session.go
@@ -77,11 +77,8 @@
 	steeredKey = "cressknot.steered" // in the map: this proxy has had messages of a governor since its start
 )
 
-// begin asks for what the proxy holds.
+// begin asks for what the proxy holds. The session is locked.
 func (s *session) begin() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.watchdog = time.AfterFunc(s.link.front.answerWithin, s.late)
 	s.out = append(s.out[:0], "prompt\nshow info\n"...)
 	s.expect = append(s.expect, expectation{what: toPrompt}, expectation{what: toInfo})
 	switch {
