Complete no takeover whose first session has ended

Read once more: a first session that was lost while the second one was dialed let that one complete a takeover which the lease had dropped, beside the next look; safe by the protocol, but for nothing, and the list of sessions to end was read outside its lock.

It ends there now; the list is read under the lock.

--- a/front/haproxy/lease.go
+++ b/front/haproxy/lease.go
@@ -93,14 +93,14 @@
 // complete ends the sessions that there were when our entry had been written, and says whose session this is.
 func (s *session) complete() {
 	l := s.link
-	for _, id := range l.ending {
+	l.leasing.Lock()
+	next, ending := l.lease.Next(), l.ending
+	l.ending = nil
+	l.leasing.Unlock()
+	for _, id := range ending {
 		s.out = append(runtimeapi.AppendCommand(s.out, "shutdown", "session", id), '\n')
 		s.expect = append(s.expect, expectation{what: toShut})
 	}
-	l.ending = nil
-	l.leasing.Lock()
-	next := l.lease.Next()
-	l.leasing.Unlock()
 	s.keys[leaseKey+l.front.opt.Me] = true
 	s.put(leaseKey+l.front.opt.Me, next.String(), toBid)
 }
@@ -208,6 +208,12 @@
 
 // takeOver opens the session that completes a takeover, while the one that began it still stands: so its number can't be the new one's.
 func (l *link) takeOver(before *session) {
+	before.mu.Lock()
+	over := before.over
+	before.mu.Unlock()
+	if over { // what it began ended with it; the next look begins anew
+		return
+	}
 	dialer := net.Dialer{Timeout: time.Duration(steer.DialWithin)}
 	conn, err := dialer.DialContext(l.front.ctx, network(l.proxy.Addr), l.proxy.Addr)
 	if err == nil {
