--- a/cmd/cressknot/main.go
+++ b/cmd/cressknot/main.go
@@ -58,7 +58,7 @@
 		SilenceErrors: true, SilenceUsage: true, Version: serve.Version,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage{err} })
-	root.AddCommand(serveCommand(), checkCommand(), showCommand(), topCommand(), explainCommand(), guardCommand(), tableCommand(), storeCommand(), retireCommand(), takeCommand(), planCommand(), rollingCommand(), replayCommand(),
+	root.AddCommand(serveCommand(), nodeCommand(), checkCommand(), showCommand(), topCommand(), explainCommand(), guardCommand(), tableCommand(), storeCommand(), retireCommand(), takeCommand(), planCommand(), rollingCommand(), replayCommand(),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: args(cobra.NoArgs),
 			Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), serve.Version) }})
 	return root
@@ -81,6 +81,14 @@
 	return c
 }
 
+func nodeCommand() *cobra.Command {
+	return &cobra.Command{Use: "node", Short: "Run a governor on a platform with a relay",
+		Long: `Run a governor as the platform's variables say, RELAY_CONFIG before all. SIGHUP reads the configuration
+again and goes to its addresses; SIGTERM ends it once the call in the air is done. docs/operate/node.md has more.`,
+		Args: args(cobra.NoArgs),
+		RunE: func(*cobra.Command, []string) error { return serve.Node(os.Getenv) }}
+}
+
 func checkCommand() *cobra.Command {
 	return &cobra.Command{Use: "check FILE...", Short: "Check settings and tell all that is wrong in them",
 		Args: args(cobra.MinimumNArgs(1)),
--- /dev/null
+++ b/config/relay.go
@@ -0,0 +1,129 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"cressknot/fleet"
+	"cressknot/internal/wire"
+	"cressknot/list"
+)
+
+// Relay is what a governor on the users' platform is told at its start: RELAY_CONFIG names a JSON file; RELAY_NAME,
+// RELAY_LISTEN and RELAY_DISCOVERY stand in where the file lacks their keys.
+type Relay struct {
+	Name      string
+	Listen    string // where proxies' collectors connect
+	Discovery string
+	Store     string // the relay's address
+	Seed      uint64
+	Cores     float64
+	MemoryMB  int
+	Sockets   int
+	Known     list.Document // the list as this governor last had it
+	Site      fleet.Site
+}
+
+// LoadRelay reads it. The first thing that is wrong is told, with its key.
+func LoadRelay(getenv func(string) string) (*Relay, error) {
+	path := getenv("RELAY_CONFIG")
+	if path == "" {
+		return nil, errors.New("RELAY_CONFIG is not set")
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("RELAY_CONFIG: %w", err)
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.LimitReader(f, sizeMost+1))
+	if err != nil {
+		return nil, fmt.Errorf("RELAY_CONFIG: %w", err)
+	}
+	if len(text) > sizeMost {
+		return nil, fmt.Errorf("%s: over %d bytes", path, sizeMost)
+	}
+	r, err := ParseRelay(text, getenv)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return r, nil
+}
+
+// ParseRelay reads the file's text.
+func ParseRelay(text []byte, getenv func(string) string) (*Relay, error) {
+	var o struct {
+		Name      string `json:"name"`
+		Listen    string `json:"listen"`
+		Discovery string `json:"discovery"`
+		Seed      string `json:"seed"`
+		Limits    struct {
+			Cores    float64 `json:"cores"`
+			MemoryMB float64 `json:"memory_mb"`
+			Sockets  int     `json:"sockets"`
+		} `json:"limits"`
+		Store struct {
+			Address string `json:"address"`
+		} `json:"store"`
+		Known    json.RawMessage `json:"known"`
+		Settings json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(text, &o); err != nil {
+		var syntax *json.SyntaxError
+		var kind *json.UnmarshalTypeError
+		switch {
+		case errors.As(err, &syntax):
+			return nil, fmt.Errorf("byte %d: %w", syntax.Offset, err)
+		case errors.As(err, &kind):
+			return nil, fmt.Errorf("key %s: %w", kind.Field, err)
+		}
+		return nil, err
+	}
+	for _, stand := range []struct {
+		key  *string
+		name string
+	}{{&o.Name, "RELAY_NAME"}, {&o.Listen, "RELAY_LISTEN"}, {&o.Discovery, "RELAY_DISCOVERY"}} {
+		if *stand.key == "" {
+			*stand.key = getenv(stand.name)
+		}
+	}
+	r := &Relay{Name: o.Name, Listen: o.Listen, Discovery: o.Discovery, Store: o.Store.Address,
+		Cores: o.Limits.Cores, MemoryMB: int(o.Limits.MemoryMB), Sockets: o.Limits.Sockets}
+	for _, a := range []struct{ key, addr string }{
+		{"listen", r.Listen}, {"discovery", r.Discovery}, {"store.address", r.Store}} {
+		if _, err := netip.ParseAddrPort(a.addr); err != nil {
+			return nil, fmt.Errorf("key %s: %.60q is not address:port", a.key, a.addr)
+		}
+	}
+	switch {
+	case r.Name == "":
+		return nil, errors.New("key name is missing")
+	case !(o.Limits.MemoryMB >= 16 && o.Limits.MemoryMB < math.MaxInt32):
+		return nil, fmt.Errorf("key limits.memory_mb: %g is not 16 or more", o.Limits.MemoryMB)
+	case r.Sockets < 64 || r.Sockets > 1<<20:
+		return nil, fmt.Errorf("key limits.sockets: %d is not between 64 and %d", r.Sockets, 1<<20)
+	case len(o.Settings) == 0:
+		return nil, errors.New("key settings is missing")
+	}
+	var err error
+	if r.Seed, err = strconv.ParseUint(o.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("key seed: %.40q is not a number in hexadecimal", o.Seed)
+	}
+	if r.Site, err = wire.ParseSite(o.Settings); err != nil {
+		return nil, err
+	}
+	if len(o.Known) > 0 && string(o.Known) != "null" {
+		p := list.Platform{Zones: r.Site.Zones, Kinds: r.Site.Kinds}
+		doc, err := p.Decode(o.Known)
+		if err != nil {
+			return nil, fmt.Errorf("key known: %w", err)
+		}
+		r.Known = *doc
+	}
+	return r, nil
+}
--- /dev/null
+++ b/front/relay/answer.go
@@ -0,0 +1,132 @@
+package relay
+
+import (
+	"encoding/xml"
+	"errors"
+	"fmt"
+	"io"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"cressknot/fleet"
+)
+
+// Read makes out what an answer says of a call with so many orders.
+func Read(text []byte, orders int) (was Outcome, taken int, err error) {
+	dec := xml.NewDecoder(strings.NewReader(string(text)))
+	var inside []string
+	found := -1
+	words := map[string]bool{}
+	for {
+		token, err := dec.Token()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return Uncertain, 0, fmt.Errorf("answer: byte %d: %w", dec.InputOffset(), err)
+		}
+		switch t := token.(type) {
+		case xml.StartElement:
+			inside = append(inside, t.Name.Local)
+		case xml.EndElement:
+			inside = inside[:len(inside)-1]
+		case xml.CharData:
+			word := strings.TrimSpace(string(t))
+			if len(inside) == 0 || word == "" {
+				continue
+			}
+			if inside[len(inside)-1] != "accepted" {
+				words[word] = true
+				continue
+			}
+			n, err := strconv.Atoi(word)
+			if err != nil || n < 0 || n > orders || found >= 0 {
+				return Uncertain, 0, fmt.Errorf("answer: accepted %.20q of %d orders", word, orders)
+			}
+			found = n
+		}
+	}
+	switch {
+	case found >= 0:
+		return Answered, found, nil
+	case words["limit"]:
+		return Refused, 0, errors.New("answer: limit")
+	case words["malformed"]:
+		return Malformed, 0, errors.New("answer: malformed")
+	}
+	return Uncertain, 0, fmt.Errorf("answer: nothing is accepted in %.80q", text)
+}
+
+// News is what the relay's stream tells. Streams are numbered from 1: what an older one told late never counts.
+type News struct {
+	Stream uint64
+	What   What
+	Event  fleet.Event // of Told: Joined, Left or Applied
+	Whole  bool        // of Opened: the stream before it stood until now
+	Err    error       // of Ended
+}
+
+// What is a kind of news.
+type What uint8
+
+// The kinds of news.
+const (
+	Opened  What = iota // a new stream; it shows first who is joined
+	Told                // an event
+	Settled             // it has shown all
+	Ended
+)
+
+// event reads one event of the stream.
+func event(name, data string, zones []string, proxies int) (fleet.Event, error) {
+	fields, err := url.ParseQuery(data)
+	if err != nil {
+		return nil, fmt.Errorf("news: %s: %w", name, err)
+	}
+	r := reader{fields: fields}
+	node := fleet.ProxyID(r.number("node", float64(proxies-1)))
+	var e fleet.Event
+	switch name {
+	case "joined":
+		zone := -1
+		for i, z := range zones {
+			if z == fields.Get("locality") {
+				zone = i
+			}
+		}
+		if zone < 0 {
+			r.err = errors.Join(r.err, fmt.Errorf("locality %.40q is unknown", fields.Get("locality")))
+		}
+		e = fleet.Joined{Proxy: node, Zone: fleet.ZoneID(zone), Weight: r.number("w", 1e9), Fresh: r.number("cold", 1) == 1}
+	case "left":
+		e = fleet.Left{Proxy: node}
+	case "applied":
+		e = fleet.Applied{Proxy: node, Mark: fleet.MarkID(r.number("nonce", 65535)),
+			Took: fleet.Millisecond.Scale(r.number("latency", 1e9))}
+	default:
+		return nil, nil // of a later protocol
+	}
+	if r.err != nil {
+		return nil, fmt.Errorf("news: %s: %w", name, r.err)
+	}
+	return e, nil
+}
+
+type reader struct {
+	fields url.Values
+	err    error
+}
+
+func (r *reader) number(key string, most float64) float64 {
+	text := r.fields[key]
+	if len(text) == 1 {
+		if v, err := strconv.ParseFloat(text[0], 64); err == nil && v >= 0 && v <= most {
+			return v
+		}
+	}
+	if r.err == nil {
+		r.err = fmt.Errorf("%s %.40q is not a number from 0 to %g", key, strings.Join(text, ","), most)
+	}
+	return 0
+}
--- /dev/null
+++ b/front/relay/front.go
@@ -0,0 +1,356 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cressknot/fleet"
+	"cressknot/steer"
+)
+
+// Bounds of the talk with the relay.
+const (
+	dialWithin   = 250 * time.Millisecond  // on one network; a relay cut off never answers
+	answerWithin = 300 * time.Millisecond  // it answers within 50 ms or never; we may have to wait for our part of a core
+	idleMost     = 1500 * time.Millisecond // it closes what is idle for some seconds, and a call into that is uncertain
+	answerMost   = 64 << 10                // bytes of an answer
+	lifeWithin   = 2600 * time.Millisecond // a sign of life is due every second
+	openedWithin = 1500 * time.Millisecond // answer to the asking for news
+	settledAfter = time.Second             // the opening is surely read by then, also without a sign of life
+	lineMost     = 64 << 10                // bytes of a line of news
+	limitPause   = 150 * time.Millisecond  // before a call refused by 'limit' goes again
+	againFirst   = 20 * time.Millisecond   // before an uncertain call goes again; doubled each time
+	againMost    = 500 * time.Millisecond  // and no more than this: rules wait 0.5 s for a broken call
+)
+
+// Options of a front.
+type Options struct {
+	Addr    string
+	Zones   []string
+	Classes []string
+	Proxies int
+	Sink    func(News)
+	Log     zerolog.Logger
+	Seed    uint64
+}
+
+// Front talks with one relay.
+type Front struct {
+	opt   Options
+	calls http.Client
+	news  http.Client
+	kick  chan struct{}
+	moved chan struct{}
+	done  sync.WaitGroup
+	few   zerolog.Logger // for what a bad relay could repeat
+
+	mu     sync.Mutex
+	queue  Queue
+	addr   string
+	counts Counts
+}
+
+// Counts tell what became of calls, for the log.
+type Counts struct{ Calls, Orders, Uncertain, Refused, Partial, Streams uint64 }
+
+// New makes a front; nothing is dialed before Start.
+func New(opt Options) *Front {
+	f := &Front{opt: opt, kick: make(chan struct{}, 1), moved: make(chan struct{}, 1), queue: Queue{Classes: opt.Classes}, addr: opt.Addr,
+		few: opt.Log.Sample(&zerolog.BurstSampler{Burst: 10, Period: time.Second})}
+	dialer := net.Dialer{Timeout: dialWithin}
+	f.calls.Transport = &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idleMost, MaxConnsPerHost: 2,
+		MaxIdleConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: 16 << 10}
+	f.news.Transport = &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
+		ResponseHeaderTimeout: openedWithin, MaxResponseHeaderBytes: 16 << 10}
+	return f
+}
+
+// Start begins to ask for news and to send what is put.
+func (f *Front) Start(ctx context.Context) {
+	f.done.Add(2)
+	go f.send(ctx)
+	go f.follow(ctx)
+}
+
+// Wait waits until a call in the air is done, once the context of Start has ended.
+func (f *Front) Wait() { f.done.Wait() }
+
+// Put hands over the orders of a step.
+func (f *Front) Put(ops []Op) {
+	f.mu.Lock()
+	f.queue.Put(ops)
+	f.mu.Unlock()
+	wake(f.kick)
+}
+
+// Left tells that a proxy has gone.
+func (f *Front) Left(id fleet.ProxyID) {
+	f.mu.Lock()
+	f.queue.Left(id)
+	f.mu.Unlock()
+}
+
+// Move goes to another address. The stream at the old one goes on until a new one stands.
+func (f *Front) Move(addr string) {
+	f.mu.Lock()
+	f.addr = addr
+	f.mu.Unlock()
+	wake(f.moved)
+	wake(f.kick)
+}
+
+// Counts tell what became of calls.
+func (f *Front) Counts() Counts {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.counts
+}
+
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+func (f *Front) at() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.addr
+}
+
+// send carries out calls, one at a time.
+func (f *Front) send(ctx context.Context) {
+	defer f.done.Done()
+	again := againFirst
+	for {
+		f.mu.Lock()
+		empty := f.queue.Empty()
+		f.mu.Unlock()
+		if empty {
+			select {
+			case <-ctx.Done():
+				return
+			case <-f.kick:
+			}
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		f.mu.Lock()
+		text, orders := f.queue.Next()
+		addr := f.addr
+		f.mu.Unlock()
+		began := time.Now()
+		was, taken, err := f.call(addr, text, orders)
+		f.mu.Lock()
+		out := f.queue.Done(was, taken)
+		c := &f.counts
+		c.Calls, c.Orders = c.Calls+1, c.Orders+uint64(taken)
+		switch {
+		case was == Uncertain:
+			c.Uncertain++
+		case was != Answered:
+			c.Refused++
+		case taken < orders:
+			c.Partial++
+		}
+		f.mu.Unlock()
+		for _, o := range out {
+			f.few.Warn().Str("order", o).Msg("left out: the relay can't use it")
+		}
+		if was == Answered {
+			f.opt.Log.Debug().Int("orders", orders).Int("taken", taken).Dur("took", time.Since(began)).Msg("call")
+			again = againFirst
+			continue
+		}
+		f.few.Warn().Err(err).Int("orders", orders).Dur("took", time.Since(began)).
+			Bool("uncertain", was == Uncertain).Msg("call goes again")
+		pause := limitPause
+		if was == Uncertain {
+			pause, again = again, min(againMost, 2*again)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+	}
+}
+
+// call sends one call and makes out what became of it. It ends by itself, so that an end of the program needs not cut it.
+func (f *Front) call(addr, text string, orders int) (Outcome, int, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), answerWithin)
+	defer cancel()
+	form := url.Values{"Action": {"CommitChanges"}, "ops": {text}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/api/", strings.NewReader(form.Encode()))
+	if err != nil {
+		return Refused, 0, err
+	}
+	req.Header.Set("Content-Type", "application/x-www-form-urlencoded")
+	res, err := f.calls.Do(req)
+	if err != nil {
+		var dial *net.OpError
+		if errors.As(err, &dial) && dial.Op == "dial" {
+			return Refused, 0, err
+		}
+		return Uncertain, 0, err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(res.Body, answerMost+1))
+	if err != nil {
+		return Uncertain, 0, fmt.Errorf("answer: %w", err)
+	}
+	was, taken, err := Read(body, orders)
+	if was == Uncertain { // where answers can't be read, the next one comes on a new connection
+		f.calls.CloseIdleConnections()
+	}
+	return was, taken, err
+}
+
+// ended is a stream's end, by its number.
+type ended struct {
+	stream uint64
+	err    error
+}
+
+// follow keeps a stream of news. After a move the old stream goes on until the new one stands.
+func (f *Front) follow(ctx context.Context) {
+	defer f.done.Done()
+	redial := steer.NewRedial(f.opt.Seed)
+	var last, current, dialing uint64
+	stop := map[uint64]context.CancelFunc{}
+	opened, over := make(chan uint64), make(chan ended)
+	open := func() {
+		last++
+		dialing = last
+		within, cancel := context.WithCancel(ctx)
+		stop[last] = cancel
+		go func(n uint64) {
+			err := f.read(within, n, func() {
+				select {
+				case opened <- n:
+				case <-within.Done():
+				}
+			})
+			select {
+			case over <- ended{n, err}:
+			case <-ctx.Done():
+			}
+		}(last)
+	}
+	open()
+	var retry <-chan time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.moved:
+			if dialing != 0 {
+				stop[dialing]()
+			}
+			open()
+		case <-retry:
+			if retry = nil; dialing == 0 {
+				open()
+			}
+		case n := <-opened:
+			if n != dialing {
+				continue
+			}
+			if current != 0 {
+				stop[current]()
+			}
+			current, dialing = n, 0
+			redial.Stood()
+			f.mu.Lock()
+			f.counts.Streams++
+			f.mu.Unlock()
+		case e := <-over:
+			stop[e.stream]()
+			delete(stop, e.stream)
+			switch e.stream {
+			case current:
+				current = 0
+			case dialing:
+				dialing = 0
+			default:
+				continue
+			}
+			f.few.Warn().Err(e.err).Uint64("stream", e.stream).Msg("no news from the relay: dials again")
+			if current == 0 && dialing == 0 || e.stream > current {
+				retry = time.After(time.Duration(redial.Failed()))
+			}
+		}
+	}
+}
+
+// read follows one stream until it ends.
+func (f *Front) read(ctx context.Context, stream uint64, opened func()) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	addr := f.at()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/api/stream", nil)
+	if err != nil {
+		return err
+	}
+	res, err := f.news.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %s", addr, res.Status)
+	}
+	opened()
+	f.opt.Sink(News{Stream: stream, What: Opened})
+	settled := sync.OnceFunc(func() { f.opt.Sink(News{Stream: stream, What: Settled}) })
+	timer := time.AfterFunc(settledAfter, settled)
+	defer timer.Stop()
+	watchdog := time.AfterFunc(lifeWithin, func() { cancel(fmt.Errorf("silent for %v", lifeWithin)) })
+	defer watchdog.Stop()
+	lines := bufio.NewScanner(res.Body)
+	lines.Buffer(make([]byte, 0, 4<<10), lineMost)
+	var name, data string
+	for lines.Scan() {
+		watchdog.Reset(lifeWithin)
+		line := lines.Text()
+		switch field, value, _ := strings.Cut(line, ":"); {
+		case line == "" && name != "":
+			e, err := event(name, data, f.opt.Zones, f.opt.Proxies)
+			if err != nil {
+				return err
+			}
+			if e != nil {
+				f.opt.Sink(News{Stream: stream, What: Told, Event: e})
+			}
+			name, data = "", ""
+		case line == "":
+		case field == "":
+			settled()
+		case field == "event":
+			name = strings.TrimSpace(value)
+		case field == "data":
+			data = strings.TrimSpace(value)
+		}
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	if err := lines.Err(); err != nil {
+		return err
+	}
+	return io.ErrUnexpectedEOF
+}
--- /dev/null
+++ b/front/relay/queue.go
@@ -0,0 +1,246 @@
+// Package relay is the front to the users' relay, which keeps the proxies' streams: orders go to it as calls over
+// HTTP, one in the air at a time, and its news of proxies comes on an event stream. It keeps order, bounds and deadlines
+// and decides nothing. docs/design/node.md tells what a broken call means.
+package relay
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"cressknot/fleet"
+)
+
+// callMost is the relay's bound, in bytes of the orders of one call.
+const callMost = 60_000
+
+// Op is an order with the name of the server that it is about, if any.
+type Op struct {
+	Order  fleet.Order
+	Server string
+}
+
+// Text prints an order as the relay reads it. Classes are named by the site.
+func (o Op) Text(classes []string) string {
+	switch v := o.Order.(type) {
+	case fleet.Share:
+		return "share," + number(v.Table) + "," + o.Server + "," + figure(v.Weight)
+	case fleet.Clear:
+		return "clear," + number(v.Table)
+	case fleet.Bind:
+		return "bind," + number(v.Proxy) + "," + number(v.Table) + "," + set(v.Classes, classes)
+	case fleet.Withdraw:
+		if v.Out {
+			return "withdraw," + o.Server
+		}
+		return "restore," + o.Server
+	case fleet.Level:
+		table := "*"
+		if v.Table != fleet.EveryTable {
+			table = number(v.Table)
+		}
+		return "admit," + table + "," + set(v.Classes, classes) + "," + figure(v.Amount) + "," + number(v.Retry)
+	case fleet.Mark:
+		return "mark," + number(v.ID) + "," + map[bool]string{false: "0", true: "1"}[v.All]
+	}
+	return ""
+}
+
+func number[T ~uint8 | ~uint16 | ~uint64](v T) string { return strconv.FormatUint(uint64(v), 10) }
+
+// figure prints a number so that it reads back as the same one, never with an exponent.
+func figure(v float32) string { return strconv.FormatFloat(float64(v), 'f', -1, 32) }
+
+func set(of fleet.ClassSet, classes []string) string {
+	if of == 0 {
+		return "*"
+	}
+	var names []string
+	for i, name := range classes {
+		if of&(1<<i) != 0 {
+			names = append(names, name)
+		}
+	}
+	return strings.Join(names, "+")
+}
+
+// key tells orders that set the same thing: the later one makes the earlier one void.
+type key struct {
+	kind          uint8 // also the place in a folded call
+	table, number uint16
+	classes       fleet.ClassSet
+	server        string
+}
+
+// Places in a folded call: what adds stands before what takes away, so that no table that a proxy is on is empty on the way.
+const (
+	placeClear = iota
+	placeRestore
+	placeShare
+	placeLevel
+	placeBind
+	placeRemove
+	placeWithdraw
+	placeMark
+)
+
+func (o Op) key() key {
+	switch v := o.Order.(type) {
+	case fleet.Share:
+		return key{kind: placeShare, table: uint16(v.Table), server: o.Server}
+	case fleet.Clear:
+		return key{kind: placeClear, table: uint16(v.Table)}
+	case fleet.Bind:
+		return key{kind: placeBind, number: uint16(v.Proxy), classes: v.Classes}
+	case fleet.Withdraw:
+		return key{kind: placeWithdraw, server: o.Server}
+	case fleet.Level:
+		return key{kind: placeLevel, table: uint16(v.Table), classes: v.Classes}
+	}
+	return key{kind: placeMark}
+}
+
+func (o Op) place() uint8 {
+	switch v := o.Order.(type) {
+	case fleet.Share:
+		if v.Weight == 0 {
+			return placeRemove
+		}
+	case fleet.Withdraw:
+		if !v.Out {
+			return placeRestore
+		}
+	}
+	return o.key().kind
+}
+
+// fold makes one call of orders that were to be several. In the end the same holds as after all of them in turn.
+func fold(ops []Op) []Op {
+	last := make(map[key]int, len(ops))
+	cleared := map[uint16]int{}
+	for i, o := range ops {
+		last[o.key()] = i
+		if c, is := o.Order.(fleet.Clear); is {
+			cleared[uint16(c.Table)] = i
+		}
+	}
+	var out []Op
+	for i, o := range ops {
+		k := o.key()
+		at, wiped := cleared[k.table]
+		if last[k] == i && !(wiped && at > i && (k.kind == placeShare || k.kind == placeLevel)) {
+			out = append(out, o)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Op) int { return cmp.Compare(a.place(), b.place()) })
+	return out
+}
+
+// Outcome is what became of a call.
+type Outcome uint8
+
+// The outcomes of a call.
+const (
+	Answered  Outcome = iota // so many orders were taken
+	Uncertain                // it was carried out as though it had been answered, or not at all
+	Refused                  // nothing was carried out
+	Malformed                // nothing was carried out, nor ever will be
+)
+
+// malformedMost is how often a call that the relay can't read is sent before it is given up: once may be the wire's fault.
+const malformedMost = 3
+
+// Queue holds the orders that are not known to be carried out, in order. Its size is bounded by the things that orders set.
+type Queue struct {
+	Classes []string
+	call    []Op // the call in the air, or to be sent again before all else
+	waiting []Op // what comes after it
+	left    map[fleet.ProxyID]bool
+	struck  bool // the relay halted at the first order of the call already
+	tries   int
+}
+
+// Put adds the orders of a step.
+func (q *Queue) Put(ops []Op) {
+	for _, o := range ops {
+		if b, is := o.Order.(fleet.Bind); is {
+			delete(q.left, b.Proxy)
+		}
+	}
+	if len(q.waiting) == 0 {
+		q.waiting = slices.Clone(ops)
+		return
+	}
+	q.waiting = fold(append(q.waiting, ops...))
+}
+
+// Left drops what was to bind a proxy that has gone.
+func (q *Queue) Left(id fleet.ProxyID) {
+	if q.left == nil {
+		q.left = map[fleet.ProxyID]bool{}
+	}
+	if q.left[id] = true; len(q.call) == 0 {
+		clear(q.left)
+	}
+	q.waiting = slices.DeleteFunc(q.waiting, func(o Op) bool {
+		b, is := o.Order.(fleet.Bind)
+		return is && b.Proxy == id
+	})
+}
+
+// Empty tells that nothing waits.
+func (q *Queue) Empty() bool { return len(q.call) == 0 && len(q.waiting) == 0 }
+
+// Next gives the call to send now: its orders' text and number. The same one comes again until Done tells that it is settled.
+func (q *Queue) Next() (text string, orders int) {
+	if len(q.call) == 0 {
+		size := 0
+		for _, o := range q.waiting {
+			if size += len(o.Text(q.Classes)) + 1; size > callMost {
+				break
+			}
+			q.call = append(q.call, o)
+		}
+		q.waiting = q.waiting[len(q.call):]
+		q.struck, q.tries = false, 0
+	}
+	parts := make([]string, len(q.call))
+	for i, o := range q.call {
+		parts[i] = o.Text(q.Classes)
+	}
+	return strings.Join(parts, ";"), len(q.call)
+}
+
+// Done takes in what became of the call. What is left out for good is told.
+func (q *Queue) Done(was Outcome, taken int) (out []string) {
+	q.tries++
+	switch {
+	case was == Refused: // newer orders may take the place of these
+		q.waiting, q.call = fold(append(q.call, q.waiting...)), nil
+	case was == Malformed && q.tries >= malformedMost:
+		out, q.call = append(out, fmt.Sprintf("a call of %d orders", len(q.call))), nil
+	case was == Answered && taken >= len(q.call):
+		q.call = nil
+	case was == Answered: // it halted there; a spoilt answer is told from that by asking once more
+		if taken > 0 {
+			q.struck = false
+		}
+		if q.call = q.call[taken:]; q.struck {
+			out = append(out, q.call[0].Text(q.Classes))
+			q.call, q.struck = q.call[1:], false
+		} else {
+			q.struck = true
+		}
+	}
+	q.call = slices.DeleteFunc(q.call, func(o Op) bool {
+		b, is := o.Order.(fleet.Bind)
+		return is && q.left[b.Proxy]
+	})
+	if len(q.call) == 0 {
+		clear(q.left)
+		q.call = nil
+	}
+	return out
+}
--- /dev/null
+++ b/intake/collector/decode.go
@@ -0,0 +1,216 @@
+// Package collector listens at a governor's address on the users' platform: signs of life, the collectors that forward what
+// proxies met, and strangers, who get a refusal. Nothing here decides anything.
+package collector
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"cressknot/fleet"
+)
+
+// What a report may say. Past these it is spoilt, and is dropped alone.
+const (
+	triesMost    = 1_000_000 // of one line: three orders above what a governor's proxies do in an interval
+	spanMost     = 120_000.0 // ms that a line may have been counted over: a collector cut off for so long starts anew
+	latencyMost  = 600_000.0 // ms: no client waits for ten minutes
+	loadMost     = 1e7       // of a figure of a load report
+	busyShareMax = 4.0       // of a busy share: noise may carry it past 1
+	fieldsMost   = 32        // in a line
+)
+
+// Words are the names that reports may use.
+type Words struct {
+	Zones   []string
+	Classes []string
+	Proxies int
+	Load    []fleet.LoadField // the order of load reports
+}
+
+// Report is a line that could be read: a fleet.Heard, its server by name, or a fleet.Usage.
+type Report struct {
+	Server string
+	Heard  fleet.Heard
+	Usage  fleet.Usage
+	Used   bool // it is the Usage
+}
+
+var loadWords = map[string]fleet.LoadField{"inflight": fleet.FieldHeld, "queue": fleet.FieldQueue, "util": fleet.FieldBusy,
+	"latency_ms": fleet.FieldServiceMs, "qps": fleet.FieldRate, "eps": fleet.FieldErrorRate}
+
+// errBinary is of a line that is no text at all: nothing that follows can be trusted.
+var errBinary = errors.New("unreadable data")
+
+func unreadable(text []byte) bool {
+	return slices.ContainsFunc(text, func(c byte) bool { return (c < ' ' || c > '~') && c != '\r' })
+}
+
+type line struct {
+	kind   string
+	fields [fieldsMost]struct{ name, value string }
+	n      int
+	err    error
+}
+
+// split takes a line apart.
+func split(text string) (l line, err error) {
+	if unreadable([]byte(text)) {
+		return l, errBinary
+	}
+	for part := range strings.SplitSeq(text, " ") {
+		if part == "" {
+			continue
+		}
+		if l.kind == "" {
+			l.kind = part
+			continue
+		}
+		name, value, ok := strings.Cut(part, "=")
+		switch {
+		case !ok || name == "":
+			return l, fmt.Errorf("%.40q is not name=value", part)
+		case l.n == fieldsMost:
+			return l, fmt.Errorf("over %d fields", fieldsMost)
+		}
+		for _, f := range l.fields[:l.n] {
+			if f.name == name {
+				return l, fmt.Errorf("field %.40q stands twice", name)
+			}
+		}
+		l.fields[l.n].name, l.fields[l.n].value = name, value
+		l.n++
+	}
+	return l, nil
+}
+
+func (l *line) get(name string) (string, bool) {
+	for _, f := range l.fields[:l.n] {
+		if f.name == name {
+			return f.value, true
+		}
+	}
+	return "", false
+}
+
+func (l *line) fail(format string, args ...any) {
+	if l.err == nil {
+		l.err = fmt.Errorf(format, args...)
+	}
+}
+
+func (l *line) figure(name string, least, most float64) float64 {
+	text, _ := l.get(name)
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(v >= least && v <= most) {
+		l.fail("field %s: %.40q is not a number from %g to %g", name, text, least, most)
+		return 0
+	}
+	return v
+}
+
+func (l *line) count(name string, most float64) uint32 {
+	v := l.figure(name, 0, most)
+	if v != math.Trunc(v) {
+		l.fail("field %s: %g is no whole number", name, v)
+	}
+	return uint32(v)
+}
+
+func (l *line) word(name string, of []string) int {
+	text, _ := l.get(name)
+	i := slices.Index(of, text)
+	if i < 0 {
+		l.fail("field %s: %.40q is unknown", name, text)
+		return 0
+	}
+	return i
+}
+
+func millis(ms float64) fleet.Time { return fleet.Time(math.Round(ms * float64(fleet.Millisecond))) }
+
+// report reads a heard or usage line.
+func (w *Words) report(l *line) (r Report, err error) {
+	total, errs := l.count("total", triesMost), l.count("errors", triesMost)
+	span := millis(l.figure("interval", math.SmallestNonzeroFloat64, spanMost))
+	if errs > total {
+		l.fail("field errors: %d of %d tries", errs, total)
+	}
+	switch l.kind {
+	case "heard":
+		r.Server, _ = l.get("endpoint")
+		if r.Server == "" {
+			l.fail("field endpoint is missing")
+		}
+		r.Heard = fleet.Heard{Tries: total, Failed: errs, Span: span, Zone: fleet.ZoneID(l.word("locality", w.Zones))}
+		if _, has := l.get("rtt"); has || errs < total {
+			r.Heard.Latency = millis(l.figure("rtt", 0, latencyMost))
+		}
+		if text, has := l.get("metrics"); has && text != "" {
+			r.Heard.Load = w.load(l, text)
+		}
+	case "usage":
+		r.Used = true
+		r.Usage = fleet.Usage{Proxy: fleet.ProxyID(l.count("node", float64(w.Proxies-1))), Class: fleet.ClassID(l.word("route", w.Classes)),
+			Visits: total, NoAnswer: errs, Span: span}
+	default:
+		l.fail("kind %.40q is unknown", l.kind)
+	}
+	return r, l.err
+}
+
+// load reads figures into the order that the site states; one that is not there is told by a negative figure.
+func (w *Words) load(l *line, text string) []float32 {
+	load := make([]float32, len(w.Load))
+	for i := range load {
+		load[i] = -1
+	}
+	for part := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(part, ":")
+		v, err := strconv.ParseFloat(value, 64)
+		field, known := loadWords[name]
+		if err != nil || !(v >= 0 && v <= loadMost) || known && field == fleet.FieldBusy && v > busyShareMax {
+			l.fail("field metrics: %.40q is out of range", part)
+			return nil
+		}
+		if i := slices.Index(w.Load, field); known && i >= 0 {
+			load[i] = float32(v)
+		}
+	}
+	return load
+}
+
+// Key tells which line of reports one is of.
+type Key struct {
+	server string
+	zone   fleet.ZoneID
+	proxy  fleet.ProxyID
+	class  fleet.ClassID
+	used   bool
+}
+
+// Key gives the report's line.
+func (r *Report) Key() Key {
+	return Key{r.Server, r.Heard.Zone, r.Usage.Proxy, r.Usage.Class, r.Used}
+}
+
+// Add makes one report of two of the same line, the later one last.
+func (r *Report) Add(later Report) {
+	if r.Used {
+		u, v := &r.Usage, later.Usage
+		u.Visits, u.NoAnswer, u.Span = u.Visits+v.Visits, u.NoAnswer+v.NoAnswer, u.Span+v.Span
+		return
+	}
+	h, l := &r.Heard, later.Heard
+	good, more := float64(h.Tries-h.Failed), float64(l.Tries-l.Failed)
+	if good+more > 0 {
+		h.Latency = fleet.Time((float64(h.Latency)*good + float64(l.Latency)*more) / (good + more))
+	}
+	h.Tries, h.Failed, h.Span = h.Tries+l.Tries, h.Failed+l.Failed, h.Span+l.Span
+	if l.Load != nil {
+		h.Load = l.Load
+	}
+}
--- /dev/null
+++ b/list/platform.go
@@ -0,0 +1,364 @@
+package list
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"cressknot/fleet"
+)
+
+// Bounds of the talk with the platform's discovery.
+const (
+	platformDial   = time.Second             // on one network; a machine that is cut off never answers
+	platformHead   = 3 * time.Second         // it handles calls one after another, and turns away what waits some seconds
+	platformSilent = 3500 * time.Millisecond // an empty line is due every 2 s; what it has to tell counts as told after 6 s
+	platformLine   = 8 << 20                 // bytes of one object: some 50,000 servers
+	platformNames  = 128                     // bytes of a name or an address
+)
+
+// Platform is the platform's discovery: a whole list for each Fetch, and a watch that lasts until its connection ends. Each
+// Watch(true) and each Fetch is answered by exactly one update at first, be it a failure; changes follow in order.
+type Platform struct {
+	Addr   string   // host:port
+	Rev    uint64   // of the list held at the start
+	Zones  []string // those that an entry may name
+	Kinds  []string
+	Notice func(error) // hears of what failed without an update, such as a move; may be nil
+
+	sink    func(Update)
+	client  http.Client
+	kick    chan struct{}
+	told    chan said
+	mu      sync.Mutex
+	asked   bool // to watch, since the last look
+	stopped bool // to watch no more
+	fetches int
+	addr    string
+}
+
+// said is what one connection told.
+type said struct {
+	from *platformWatch // nil: a fetch
+	doc  *Document      // nil and no error: a sign of life
+	err  error
+}
+
+type platformWatch struct {
+	addr   string
+	cancel context.CancelFunc
+	waited bool // its first answer is still owed to the module
+}
+
+// Start begins to talk once it is asked.
+func (p *Platform) Start(ctx context.Context, sink func(Update)) error {
+	p.sink, p.kick, p.told, p.addr = sink, make(chan struct{}, 1), make(chan said), p.Addr
+	dialer := net.Dialer{Timeout: platformDial}
+	p.client.Transport = &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true,
+		DisableCompression: true, ResponseHeaderTimeout: platformHead, MaxResponseHeaderBytes: 16 << 10}
+	go p.run(ctx)
+	return nil
+}
+
+// Watch asks for changes from now on, or for no more.
+func (p *Platform) Watch(on bool) { p.want(func() { p.asked, p.stopped = on, !on }) }
+
+// Fetch asks for the whole list once.
+func (p *Platform) Fetch() { p.want(func() { p.fetches = min(p.fetches+1, 4) }) }
+
+// Move goes to another address; a watch goes on at the old one until the new one answers.
+func (p *Platform) Move(addr string) { p.want(func() { p.addr = addr }) }
+
+func (p *Platform) want(set func()) {
+	p.mu.Lock()
+	set()
+	p.mu.Unlock()
+	select {
+	case p.kick <- struct{}{}:
+	default:
+	}
+}
+
+// run owns the watches.
+func (p *Platform) run(ctx context.Context) {
+	var current, next *platformWatch
+	addr := p.Addr
+	end := func(w *platformWatch) *platformWatch {
+		if w != nil {
+			w.cancel()
+		}
+		return nil
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.kick:
+			p.mu.Lock()
+			asked, stopped, fetches := p.asked, p.stopped, p.fetches
+			moved := p.addr != addr
+			addr = p.addr
+			p.asked, p.stopped, p.fetches = false, false, 0
+			p.mu.Unlock()
+			switch {
+			case stopped:
+				current, next = end(current), end(next)
+			case asked:
+				end(current)
+				next = end(next)
+				current = p.open(ctx, addr, true)
+			case moved && current != nil:
+				end(next)
+				next = p.open(ctx, addr, false)
+			}
+			for ; fetches > 0; fetches-- {
+				go p.fetch(ctx, addr)
+			}
+		case m := <-p.told:
+			switch {
+			case m.from == nil:
+				p.take(m, false)
+			case m.from == next && m.err != nil:
+				next = end(next)
+				p.notice(fmt.Errorf("at the new address: %w", m.err))
+				if current == nil { // the old one went in the meantime
+					p.sink(Update{Scope: fleet.ListFailed, Err: m.err})
+				}
+			case m.from == next:
+				end(current)
+				m.from.waited = current != nil && current.waited
+				current, next = next, nil
+				p.take(m, true)
+			case m.from == current && m.err != nil:
+				current = end(current)
+				if next == nil {
+					p.sink(Update{Scope: fleet.ListFailed, Err: m.err})
+				} else {
+					next.waited = true
+				}
+			case m.from == current:
+				p.take(m, false)
+			}
+		}
+	}
+}
+
+func (p *Platform) notice(err error) {
+	if p.Notice != nil {
+		p.Notice(err)
+	}
+}
+
+// take tells what came. At a change of addresses what is known already is told by both: it counts once.
+func (p *Platform) take(m said, moved bool) {
+	waited := m.from != nil && m.from.waited
+	if m.from != nil {
+		m.from.waited = false
+	}
+	switch {
+	case m.err != nil:
+		p.sink(Update{Scope: fleet.ListFailed, Err: m.err})
+	case m.doc != nil && !(m.doc.Rev <= p.Rev && m.doc.Changes) && !(moved && m.doc.Rev < p.Rev):
+		p.Rev = m.doc.Rev
+		scope := fleet.ListFull
+		if m.doc.Changes {
+			scope = fleet.ListDelta
+		}
+		p.sink(Update{Scope: scope, Doc: *m.doc})
+	case waited: // nothing new, which is an answer too
+		p.sink(Update{Scope: fleet.ListDelta, Doc: Document{Rev: p.Rev, Changes: true}})
+	default:
+		p.sink(Update{Same: true})
+	}
+}
+
+func (p *Platform) open(ctx context.Context, addr string, waited bool) *platformWatch {
+	ctx, cancel := context.WithCancel(ctx)
+	w := &platformWatch{addr: addr, cancel: cancel, waited: waited}
+	url := fmt.Sprintf("http://%s/v1/endpoints?watch=1&after=%d", addr, p.Rev)
+	go func() {
+		err := p.follow(ctx, url, func(doc *Document) { p.say(ctx, said{from: w, doc: doc}) })
+		p.say(ctx, said{from: w, err: fmt.Errorf("list: watch at %s: %w", addr, err)})
+	}()
+	return w
+}
+
+func (p *Platform) say(ctx context.Context, m said) {
+	select {
+	case p.told <- m:
+	case <-ctx.Done():
+	}
+}
+
+func (p *Platform) fetch(ctx context.Context, addr string) {
+	within, cancel := context.WithTimeout(ctx, platformHead+platformSilent)
+	defer cancel()
+	var doc *Document
+	body, err := p.get(within, "http://"+addr+"/v1/endpoints")
+	if err == nil {
+		var text []byte
+		text, err = io.ReadAll(io.LimitReader(body, platformLine+1))
+		body.Close()
+		if err == nil && len(text) > platformLine {
+			err = fmt.Errorf("an answer of over %d bytes", platformLine)
+		}
+		if err == nil {
+			doc, err = p.Decode(text)
+		}
+	}
+	if err != nil {
+		err = fmt.Errorf("list: %s: %w", addr, err)
+	}
+	p.say(ctx, said{doc: doc, err: err})
+}
+
+func (p *Platform) get(ctx context.Context, url string) (io.ReadCloser, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	res, err := p.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if res.StatusCode != http.StatusOK {
+		res.Body.Close()
+		return nil, errors.New(res.Status)
+	}
+	return res.Body, nil
+}
+
+// follow reads a watch until it ends, falls silent or can't be read.
+func (p *Platform) follow(ctx context.Context, url string, tell func(*Document)) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	body, err := p.get(ctx, url)
+	if err != nil {
+		return err
+	}
+	defer body.Close()
+	watchdog := time.AfterFunc(platformSilent, func() { cancel(fmt.Errorf("silent for %v", platformSilent)) })
+	defer watchdog.Stop()
+	lines := bufio.NewScanner(readerFunc(func(to []byte) (int, error) {
+		n, err := body.Read(to)
+		watchdog.Reset(platformSilent)
+		return n, err
+	}))
+	lines.Buffer(make([]byte, 0, 4<<10), platformLine)
+	lines.Split(wholeLines)
+	for lines.Scan() {
+		text := bytes.TrimSpace(lines.Bytes())
+		if len(text) == 0 {
+			tell(nil)
+			continue
+		}
+		doc, err := p.Decode(text)
+		if err != nil {
+			return err
+		}
+		tell(doc)
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	if err := lines.Err(); err != nil {
+		return err
+	}
+	return io.ErrUnexpectedEOF
+}
+
+// wholeLines gives lines that ended: what a break cut short is no object.
+func wholeLines(data []byte, atEOF bool) (int, []byte, error) {
+	if i := bytes.IndexByte(data, '\n'); i >= 0 {
+		return i + 1, data[:i], nil
+	}
+	if atEOF && len(data) > 0 {
+		return 0, nil, io.ErrUnexpectedEOF
+	}
+	return 0, nil, nil
+}
+
+type readerFunc func([]byte) (int, error)
+
+func (f readerFunc) Read(to []byte) (int, error) { return f(to) }
+
+var platformStates = map[string]string{"in_service": "ready", "terminating": "draining", "terminated": "gone"}
+
+// Decode reads one object of discovery. Errors name the byte or the entry.
+func (p *Platform) Decode(text []byte) (*Document, error) {
+	var o struct {
+		Rev     *uint64 `json:"rev"`
+		All     *bool   `json:"all"`
+		Targets []struct {
+			UID      string  `json:"uid"`
+			Endpoint string  `json:"endpoint"`
+			Az       string  `json:"az"`
+			Model    string  `json:"model"`
+			PodGroup uint16  `json:"pod_group"`
+			State    string  `json:"state"`
+			Hint     float64 `json:"capacity_hint"`
+			BootMs   float64 `json:"boot_ms"`
+		} `json:"targets"`
+	}
+	if err := json.Unmarshal(text, &o); err != nil {
+		var syntax *json.SyntaxError
+		var kind *json.UnmarshalTypeError
+		switch {
+		case errors.As(err, &syntax):
+			return nil, fmt.Errorf("byte %d: %w", syntax.Offset, err)
+		case errors.As(err, &kind):
+			return nil, fmt.Errorf("byte %d: key %s: %w", kind.Offset, kind.Field, err)
+		}
+		return nil, err
+	}
+	switch {
+	case o.Rev == nil:
+		return nil, errors.New("key rev is missing")
+	case o.All == nil:
+		return nil, errors.New("key all is missing")
+	case len(o.Targets) > serversMost:
+		return nil, fmt.Errorf("key targets: %d servers, %d are the most", len(o.Targets), serversMost)
+	}
+	doc := &Document{Rev: *o.Rev, Changes: !*o.All}
+	seen := make(map[string]bool, len(o.Targets))
+	for i, t := range o.Targets {
+		state, known := platformStates[t.State]
+		what := ""
+		switch {
+		case t.UID == "" || len(t.UID) > platformNames || len(t.Endpoint) > platformNames:
+			what = "uid or endpoint is empty or too long"
+		case seen[t.UID]:
+			what = fmt.Sprintf("uid %q stands twice", t.UID)
+		case !known:
+			what = fmt.Sprintf("state %.40q is unknown", t.State)
+		case state != "gone" && !slices.Contains(p.Zones, t.Az):
+			what = fmt.Sprintf("az %.40q is unknown", t.Az)
+		case state != "gone" && !slices.Contains(p.Kinds, t.Model):
+			what = fmt.Sprintf("model %.40q is unknown", t.Model)
+		case !(t.BootMs >= 0 && t.BootMs < math.MaxInt64/2e6):
+			what = fmt.Sprintf("boot_ms %g is out of range", t.BootMs)
+		case !(t.Hint >= 0):
+			what = fmt.Sprintf("capacity_hint %g is out of range", t.Hint)
+		}
+		if what != "" {
+			return nil, fmt.Errorf("targets[%d]: %s", i, what)
+		}
+		seen[t.UID] = true
+		s := Server{Name: t.UID, Addr: t.Endpoint, Zone: t.Az, Kind: t.Model, Cell: t.PodGroup, State: state, Weight: t.Hint}
+		if t.BootMs > 0 {
+			s.Started = time.Unix(0, int64(math.Round(t.BootMs*1e6)))
+		}
+		doc.Servers = append(doc.Servers, s)
+	}
+	return doc, nil
+}
--- /dev/null
+++ b/node/core.go
@@ -0,0 +1,215 @@
+// Package node is a governor on the users' platform: one goroutine owns the module, its alarms, and the ids that stand for
+// names. The translation is pure and time is an input; what comes in and goes out on sockets is other packages' work.
+package node
+
+import (
+	"container/heap"
+	"fmt"
+	"slices"
+
+	"cressknot/fleet"
+	"cressknot/front/relay"
+	"cressknot/intake/collector"
+	"cressknot/list"
+	"cressknot/logic"
+)
+
+// Input is something that came in: a relay.News, a collector.Report or a list.Update.
+type Input any
+
+// Effects are what a turn asks the sockets to do, in this order.
+type Effects struct {
+	Left    []fleet.ProxyID // have gone: nothing is to be sent to them
+	Orders  []relay.Op      // one call
+	Watches []bool
+	Fetches int
+	Logs    []string
+	Unknown int        // reports of servers that are not known
+	Alarm   fleet.Time // when the next turn is due at the latest, 0: no such time
+}
+
+// Core translates between the platform and the module.
+type Core struct {
+	site     fleet.Site
+	governor *logic.Governor
+	ids      map[string]fleet.ServerID
+	names    map[fleet.ServerID]string
+	lastID   fleet.ServerID // ids are never used again
+	alarms   alarms
+	stream   uint64                 // the newest stream of news
+	joined   map[fleet.ProxyID]bool // as the module was told
+	shown    map[fleet.ProxyID]bool // by the opening of the newest stream; nil: it has shown all
+	events   []fleet.Event
+}
+
+// NewCore makes a core that starts from the list as it was held last.
+func NewCore(site fleet.Site, seed uint64, known list.Document) *Core {
+	c := &Core{site: site, governor: logic.New(site, seed), ids: map[string]fleet.ServerID{},
+		names: map[fleet.ServerID]string{}, joined: map[fleet.ProxyID]bool{}}
+	c.list(list.Update{Scope: fleet.ListCached, Doc: known})
+	return c
+}
+
+// Turn takes in what came and steps the module.
+func (c *Core) Turn(now fleet.Time, inputs []Input) (fx Effects) {
+	for _, in := range inputs {
+		switch v := in.(type) {
+		case relay.News:
+			c.news(v, &fx)
+		case list.Update:
+			c.list(v)
+		case collector.Report:
+			c.report(v, &fx)
+		}
+	}
+	for len(c.alarms) > 0 && c.alarms[0].at <= now {
+		c.events = append(c.events, fleet.Alarm{ID: heap.Pop(&c.alarms).(alarm).id})
+	}
+	orders := c.governor.Step(now, c.events)
+	clear(c.events)
+	c.events = c.events[:0]
+	for _, o := range orders {
+		c.order(now, o, &fx)
+	}
+	if len(c.alarms) > 0 {
+		fx.Alarm = c.alarms[0].at
+	}
+	return fx
+}
+
+func (c *Core) order(now fleet.Time, order fleet.Order, fx *Effects) {
+	op := relay.Op{Order: order}
+	switch o := order.(type) {
+	case fleet.SetAlarm:
+		heap.Push(&c.alarms, alarm{now + o.After, o.ID})
+		return
+	case fleet.Log:
+		fx.Logs = append(fx.Logs, o.Text)
+		return
+	case fleet.Watch:
+		fx.Watches = append(fx.Watches, o.On)
+		return
+	case fleet.Fetch:
+		fx.Fetches++
+		return
+	case fleet.Share:
+		op.Server = c.names[o.Server]
+	case fleet.Withdraw:
+		op.Server = c.names[o.Server]
+	case fleet.Clear, fleet.Bind, fleet.Level, fleet.Mark:
+	default:
+		fx.Logs = append(fx.Logs, fmt.Sprintf("order %T has no form on this platform", order))
+		return
+	}
+	fx.Orders = append(fx.Orders, op)
+}
+
+// news takes in what the relay's stream told. After a break a proxy that is still there may have left and come back unseen, and is
+// then on none of our tables, so it counts as having left and joined. Who isn't shown by the opening has left.
+func (c *Core) news(n relay.News, fx *Effects) {
+	if n.Stream < c.stream {
+		return
+	}
+	switch n.What {
+	case relay.Opened:
+		c.stream, c.shown = n.Stream, map[fleet.ProxyID]bool{}
+	case relay.Settled:
+		if c.shown == nil {
+			return
+		}
+		var gone []fleet.ProxyID
+		for id := range c.joined {
+			if !c.shown[id] {
+				gone = append(gone, id)
+			}
+		}
+		slices.Sort(gone)
+		for _, id := range gone {
+			c.leave(id, fx)
+		}
+		c.shown = nil
+	case relay.Told:
+		switch e := n.Event.(type) {
+		case fleet.Joined:
+			if c.shown != nil {
+				c.shown[e.Proxy] = true
+			}
+			c.leave(e.Proxy, fx)
+			c.joined[e.Proxy] = true
+			c.events = append(c.events, e)
+		case fleet.Left:
+			c.leave(e.Proxy, fx)
+		default:
+			c.events = append(c.events, e)
+		}
+	}
+}
+
+func (c *Core) leave(id fleet.ProxyID, fx *Effects) {
+	if !c.joined[id] {
+		return
+	}
+	delete(c.joined, id)
+	c.events = append(c.events, fleet.Left{Proxy: id})
+	fx.Left = append(fx.Left, id)
+}
+
+func (c *Core) report(r collector.Report, fx *Effects) {
+	if r.Used {
+		c.events = append(c.events, r.Usage)
+		return
+	}
+	id, known := c.ids[r.Server]
+	if !known {
+		fx.Unknown++
+		return
+	}
+	r.Heard.Server = id
+	c.events = append(c.events, r.Heard)
+}
+
+var states = map[string]fleet.ServerState{"": fleet.Ready, "ready": fleet.Ready, "draining": fleet.Draining, "gone": fleet.Gone}
+
+func (c *Core) list(u list.Update) {
+	if u.Same {
+		return
+	}
+	e := fleet.List{Scope: u.Scope, Rev: fleet.ListRev(u.Doc.Rev)}
+	for _, s := range u.Doc.Servers {
+		id, known := c.ids[s.Name]
+		if !known {
+			if states[s.State] == fleet.Gone {
+				continue // never was one of ours
+			}
+			c.lastID++
+			id = c.lastID
+			c.ids[s.Name], c.names[id] = id, s.Name
+		}
+		entry := fleet.Entry{Server: id, State: states[s.State], Cell: fleet.CellID(s.Cell), Weight: s.Weight,
+			Zone: fleet.ZoneID(max(0, slices.Index(c.site.Zones, s.Zone))),
+			Kind: fleet.KindID(max(0, slices.Index(c.site.Kinds, s.Kind)))}
+		if !s.Started.IsZero() {
+			entry.Started = fleet.Time(s.Started.UnixNano())
+		}
+		e.Entries = append(e.Entries, entry)
+	}
+	c.events = append(c.events, e)
+}
+
+type alarm struct {
+	at fleet.Time
+	id fleet.AlarmID
+}
+
+// alarms is a heap, the next one first.
+type alarms []alarm
+
+func (a alarms) Len() int           { return len(a) }
+func (a alarms) Less(i, j int) bool { return a[i].at < a[j].at }
+func (a alarms) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *alarms) Push(x any)        { *a = append(*a, x.(alarm)) }
+func (a *alarms) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
--- /dev/null
+++ b/node/loop.go
@@ -0,0 +1,181 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cressknot/fleet"
+	"cressknot/front/relay"
+	"cressknot/intake/collector"
+	"cressknot/list"
+)
+
+// Bounds of the mailbox.
+const (
+	urgentMost = 4096 // lists, joins, leaves, answers: whoever brings more waits
+	reportMost = 4096 // reports that wait apart; of more, those of the same line are added up
+)
+
+// Mailbox takes what I/O goroutines hand in. Lists, joins and leaves are never folded: their bringers wait when it is full.
+type Mailbox struct {
+	mu      sync.Mutex
+	room    sync.Cond
+	urgent  []Input
+	reports []collector.Report
+	place   map[collector.Key]int // of the last report of a line, once they are many
+	folded  uint64
+	closed  bool
+	notify  chan struct{}
+}
+
+// NewMailbox makes an empty one.
+func NewMailbox() *Mailbox {
+	m := &Mailbox{notify: make(chan struct{}, 1)}
+	m.room.L = &m.mu
+	return m
+}
+
+func (m *Mailbox) wake() {
+	select {
+	case m.notify <- struct{}{}:
+	default:
+	}
+}
+
+// Post puts in what must not be lost.
+func (m *Mailbox) Post(in Input) {
+	m.mu.Lock()
+	for len(m.urgent) >= urgentMost && !m.closed {
+		m.room.Wait()
+	}
+	m.urgent = append(m.urgent, in)
+	m.mu.Unlock()
+	m.wake()
+}
+
+// Report puts a report in; it never waits. Where too many do, it is added to one of the same line.
+func (m *Mailbox) Report(r collector.Report) {
+	m.mu.Lock()
+	if len(m.reports) >= reportMost {
+		if m.place == nil {
+			m.place = make(map[collector.Key]int, reportMost)
+			for i := range m.reports {
+				m.place[m.reports[i].Key()] = i
+			}
+		}
+		if at, waits := m.place[r.Key()]; waits {
+			m.reports[at].Add(r)
+			m.folded++
+			m.mu.Unlock()
+			return
+		}
+		m.place[r.Key()] = len(m.reports)
+	}
+	m.reports = append(m.reports, r)
+	m.mu.Unlock()
+	m.wake()
+}
+
+// Take empties it: first what is urgent, then the reports.
+func (m *Mailbox) Take(into []Input) []Input {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	into = append(into, m.urgent...)
+	for _, r := range m.reports {
+		into = append(into, r)
+	}
+	clear(m.urgent)
+	clear(m.reports)
+	m.urgent, m.reports, m.place = m.urgent[:0], m.reports[:0], nil
+	m.room.Broadcast()
+	return into
+}
+
+// Close lets nobody wait any more.
+func (m *Mailbox) Close() {
+	m.mu.Lock()
+	m.closed = true
+	m.mu.Unlock()
+	m.room.Broadcast()
+}
+
+// Parts are what a loop works with.
+type Parts struct {
+	Core    *Core
+	Mailbox *Mailbox
+	Front   interface {
+		Put([]relay.Op)
+		Left(fleet.ProxyID)
+	}
+	Source list.Source
+	Tick   fleet.Time // shortest time between two turns
+	Log    zerolog.Logger
+}
+
+// Clock is the wall clock at its start, going on by the monotonic one: boots of servers are told in Unix time.
+type Clock struct{ began time.Time }
+
+// NewClock starts a clock.
+func NewClock() Clock { return Clock{time.Now()} }
+
+// Now tells the time.
+func (c Clock) Now() fleet.Time {
+	return fleet.Time(c.began.UnixNano() + time.Since(c.began).Nanoseconds())
+}
+
+// Run turns the core until the context ends.
+func Run(ctx context.Context, p Parts, clock Clock) {
+	defer p.Mailbox.Close()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var inputs []Input
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.Mailbox.notify:
+		case <-timer.C:
+		}
+		now := clock.Now()
+		inputs = p.Mailbox.Take(inputs[:0])
+		fx := p.Core.Turn(now, inputs)
+		clear(inputs)
+		for _, in := range inputs {
+			if u, is := in.(list.Update); is && u.Err != nil {
+				p.Log.Warn().Err(u.Err).Msg("list")
+			}
+		}
+		for _, id := range fx.Left {
+			p.Front.Left(id)
+		}
+		if len(fx.Orders) > 0 {
+			p.Front.Put(fx.Orders)
+		}
+		for _, on := range fx.Watches {
+			p.Source.Watch(on)
+		}
+		for range fx.Fetches {
+			p.Source.Fetch()
+		}
+		for _, text := range fx.Logs {
+			p.Log.Info().Msg(text)
+		}
+		if fx.Unknown > 0 {
+			p.Log.Debug().Int("reports", fx.Unknown).Msg("of servers that are not known")
+		}
+		wait := time.Hour
+		if fx.Alarm > 0 {
+			wait = max(0, time.Duration(fx.Alarm-clock.Now()))
+		}
+		timer.Reset(wait)
+		// What comes meanwhile is one turn's.
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Duration(p.Tick) - time.Duration(clock.Now()-now)):
+		}
+	}
+}
