--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -182,6 +182,22 @@
 	WholePay      float64
 }
 
+// Belief is what a governor makes of a server at the moment, for those who watch it.
+type Belief struct {
+	Server    ServerID
+	State     ServerState
+	Cold      bool
+	Withdrawn bool
+	Tries     float64 // heard of in the long look
+	Failed    float64 // of those
+	Busy      float64 // share of its time, negative: not told
+	Latency   Time
+	Capacity  float64 // visits a second at a busy share of 1
+	Rate      float64 // visits a second that it is sent by our tables
+	Held      float64 // part of its weight that health leaves it
+	Weight    float64 // ordered, in the first table
+}
+
 // ServerState is what the list says of a server.
 type ServerState uint8
 
--- a/intake/collector/decode.go
+++ b/intake/collector/decode.go
@@ -39,8 +39,11 @@
 	Used   bool // it is the Usage
 }
 
+// loadWords are the platform's names of load figures, and the simulator's: the platform's page shows both.
 var loadWords = map[string]fleet.LoadField{"inflight": fleet.FieldHeld, "queue": fleet.FieldQueue, "util": fleet.FieldBusy,
-	"latency_ms": fleet.FieldServiceMs, "qps": fleet.FieldRate, "eps": fleet.FieldErrorRate}
+	"latency_ms": fleet.FieldServiceMs, "qps": fleet.FieldRate, "eps": fleet.FieldErrorRate,
+	"rif": fleet.FieldHeld, "q": fleet.FieldQueue, "busy": fleet.FieldBusy, "lat_ms": fleet.FieldServiceMs, "rate": fleet.FieldRate,
+	"fail_rate": fleet.FieldErrorRate}
 
 // errBinary is of a line that is no text at all: nothing that follows can be trusted.
 var errBinary = errors.New("unreadable data")
@@ -136,11 +139,11 @@
 func (w *Words) report(l *line) (r Report, err error) {
 	total, errs := l.count("total", triesMost), l.count("errors", triesMost)
 	span := millis(l.figure("interval", math.SmallestNonzeroFloat64, spanMost))
-	if errs > total {
-		l.fail("field errors: %d of %d tries", errs, total)
-	}
 	switch l.kind {
 	case "heard":
+		if errs > total {
+			l.fail("field errors: %d of %d tries", errs, total)
+		}
 		r.Server, _ = l.get("endpoint")
 		if r.Server == "" {
 			l.fail("field endpoint is missing")
@@ -152,7 +155,7 @@
 		if text, has := l.get("metrics"); has && text != "" {
 			r.Heard.Load = w.load(l, text)
 		}
-	case "usage":
+	case "usage": // visits of an earlier interval may be among those that were not served
 		r.Used = true
 		r.Usage = fleet.Usage{Proxy: fleet.ProxyID(l.count("node", float64(w.Proxies-1))), Class: fleet.ClassID(l.word("route", w.Classes)),
 			Visits: total, NoAnswer: errs, Span: span}
--- a/intake/collector/server.go
+++ b/intake/collector/server.go
@@ -57,16 +57,17 @@
 
 // link is one connection. All but the lists of the server is of its event loop.
 type link struct {
-	server *Server
-	conn   *nbio.Conn
-	begun  time.Time
-	joined bool
-	zone   fleet.ZoneID
-	rest   []byte // of a message that has not ended
-	seen   int    // bytes of it that are known to be text
-	pongs  int
-	spoilt int // messages in a row
-	over   atomic.Bool
+	server   *Server
+	conn     *nbio.Conn
+	begun    time.Time
+	joined   bool
+	zone     fleet.ZoneID
+	rest     []byte // of a message that has not ended
+	seen     int    // bytes of it that are known to be text
+	pongs    int
+	reported bool // it brought one already
+	spoilt   int  // messages in a row
+	over     atomic.Bool
 }
 
 // Listen begins to serve.
@@ -248,7 +249,10 @@
 		return true
 	}
 	l.spoilt = 0
-	s.reports.Add(1)
+	if s.reports.Add(1); !l.reported && !r.Used {
+		l.reported = true
+		s.few.Info().Str("from", l.conn.RemoteAddr().String()).Str("line", text[:min(len(text), 160)]).Msg("first report")
+	}
 	s.opt.Sink(r)
 	return true
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -204,6 +204,16 @@
 	return g.orders
 }
 
+// Beliefs tells what the governor makes of each server that is ready.
+func (g *Governor) Beliefs() (told []fleet.Belief) {
+	for _, s := range g.ready {
+		told = append(told, fleet.Belief{Server: s.Server, State: s.State, Cold: g.cold(s), Withdrawn: s.withdrawn,
+			Tries: s.long.tries, Failed: s.long.tries - s.long.good, Busy: s.long.busy, Latency: s.long.latency,
+			Capacity: s.capacity, Rate: s.rate, Held: s.held, Weight: s.out[0]})
+	}
+	return told
+}
+
 func (g *Governor) observe(event fleet.Event) {
 	switch e := event.(type) {
 	case fleet.List:
--- a/node/core.go
+++ b/node/core.go
@@ -77,6 +77,23 @@
 	return fx
 }
 
+// Beliefs tells what the module makes of each server, by name, in few characters: name, part of its weight that health leaves it,
+// failed of tries, busy share, latency in ms, visits a second sent of those it can do, weight out.
+func (c *Core) Beliefs() (told []string) {
+	for _, b := range c.governor.Beliefs() {
+		mark := ""
+		if b.Cold {
+			mark = " cold"
+		}
+		if b.Withdrawn {
+			mark += " withdrawn"
+		}
+		told = append(told, fmt.Sprintf("%s held %.2f failed %.0f/%.0f busy %.2f lat %.0f rate %.1f/%.1f out %.3f%s", c.names[b.Server], b.Held,
+			b.Failed, b.Tries, b.Busy, b.Latency.Seconds()*1000, b.Rate, b.Capacity, b.Weight, mark))
+	}
+	return told
+}
+
 func (c *Core) order(now fleet.Time, order fleet.Order, fx *Effects) {
 	op := relay.Op{Order: order}
 	switch o := order.(type) {
--- a/node/loop.go
+++ b/node/loop.go
@@ -15,8 +15,9 @@
 
 // Bounds of the mailbox.
 const (
-	urgentMost = 4096 // lists, joins, leaves, answers: whoever brings more waits
-	reportMost = 4096 // reports that wait apart; of more, those of the same line are added up
+	urgentMost = 4096             // lists, joins, leaves, answers: whoever brings more waits
+	beliefs    = 2 * fleet.Second // what the module believes goes into the log so often
+	reportMost = 4096             // reports that wait apart; of more, those of the same line are added up
 )
 
 // Mailbox takes what I/O goroutines hand in. Lists, joins and leaves are never folded: their bringers wait when it is full.
@@ -132,6 +133,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var inputs []Input
+	believed := clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -163,6 +165,10 @@
 		for _, text := range fx.Logs {
 			p.Log.Info().Msg(text)
 		}
+		if now >= believed+beliefs {
+			believed = now
+			p.Log.Info().Strs("servers", p.Core.Beliefs()).Msg("believes")
+		}
 		if fx.Unknown > 0 {
 			p.Log.Debug().Int("reports", fx.Unknown).Msg("of servers that are not known")
 		}
--- a/serve/node.go
+++ b/serve/node.go
@@ -73,7 +73,7 @@
 	}
 	log.Info().Str("version", Version).Str("listen", heard.Addr()).Str("relay", c.Store).Str("discovery", c.Discovery).
 		Int("memory_mb", c.MemoryMB).Int("sockets", c.Sockets).Float64("cores", c.Cores).Int("proxies", c.Site.Proxies).
-		Int("known", len(c.Known.Servers)).Msg("governs")
+		Int("known", len(c.Known.Servers)).Interface("site", c.Site).Msg("governs")
 	counts := time.NewTicker(countsEvery)
 	defer counts.Stop()
 	for {
