--- a/logic/logic.go
+++ b/logic/logic.go
@@ -197,6 +197,7 @@
 	}
 	if g.due {
 		g.judged, g.pieceAt = now, now
+		g.forget()
 	}
 	g.count()
 	g.wish()
@@ -312,6 +313,23 @@
 	slices.SortFunc(g.servers, func(a, b *server) int { return cmp.Compare(a.Server, b.Server) })
 }
 
+// Knows tells whether a server is one that the governor still has to do with.
+func (g *Governor) Knows(id fleet.ServerID) bool { return g.known[id] != nil }
+
+// forget drops servers that are gone and in no table of ours: each that starts has a new id, without end. Proxies that
+// come with former tables may still send there, so it waits for these to be on ours.
+func (g *Governor) forget() {
+	g.servers = slices.DeleteFunc(g.servers, func(s *server) bool {
+		old := s.State == fleet.Gone && s.withdrawn && g.now > s.told+longestHold
+		if !old || g.astray || slices.Max(s.out) > 0 {
+			return false
+		}
+		g.orders = append(g.orders, fleet.Withdraw{Server: s.Server}) // costs no line, as no table has it
+		delete(g.known, s.Server)
+		return true
+	})
+}
+
 func (g *Governor) cold(s *server) bool { return s.Started > 0 && g.now < s.Started+g.site.ColdFor }
 
 func (g *Governor) can(s *server) float64 { // the part of its capacity that it surely has
--- a/node/core.go
+++ b/node/core.go
@@ -34,7 +34,8 @@
 	governor *logic.Governor
 	ids      map[string]fleet.ServerID
 	names    map[fleet.ServerID]string
-	lastID   fleet.ServerID // ids are never used again
+	lastID   fleet.ServerID          // ids are never used again
+	fresh    map[fleet.ServerID]bool // the module has not heard of them yet
 	alarms   alarms
 	stream   uint64                 // the newest stream of news
 	joined   map[fleet.ProxyID]bool // as the module was told
@@ -45,7 +46,7 @@
 // NewCore makes a core that starts from the list as it was held last.
 func NewCore(site fleet.Site, seed uint64, known list.Document) *Core {
 	c := &Core{site: site, governor: logic.New(site, seed), ids: map[string]fleet.ServerID{},
-		names: map[fleet.ServerID]string{}, joined: map[fleet.ProxyID]bool{}}
+		names: map[fleet.ServerID]string{}, fresh: map[fleet.ServerID]bool{}, joined: map[fleet.ProxyID]bool{}}
 	c.list(list.Update{Scope: fleet.ListCached, Doc: known})
 	return c
 }
@@ -67,6 +68,7 @@
 	}
 	orders := c.governor.Step(now, c.events)
 	clear(c.events)
+	clear(c.fresh)
 	c.events = c.events[:0]
 	for _, o := range orders {
 		c.order(now, o, &fx)
@@ -191,6 +193,12 @@
 	if u.Same {
 		return
 	}
+	for id, name := range c.names { // what the module has forgotten: its name may stand for another server one day
+		if !c.governor.Knows(id) && !c.fresh[id] {
+			delete(c.names, id)
+			delete(c.ids, name)
+		}
+	}
 	e := fleet.List{Scope: u.Scope, Rev: fleet.ListRev(u.Doc.Rev)}
 	for _, s := range u.Doc.Servers {
 		id, known := c.ids[s.Name]
@@ -200,7 +208,7 @@
 			}
 			c.lastID++
 			id = c.lastID
-			c.ids[s.Name], c.names[id] = id, s.Name
+			c.ids[s.Name], c.names[id], c.fresh[id] = id, s.Name, true
 		}
 		entry := fleet.Entry{Server: id, State: states[s.State], Cell: fleet.CellID(s.Cell), Weight: s.Weight,
 			Zone: fleet.ZoneID(max(0, slices.Index(c.site.Zones, s.Zone))),
