Squeeze classes on load that lasts, by unbiased visits; keep proxies over a planned move

A log of what load is worked out from showed demand 73 + 97 visits a second where 100 came, load 2.15 after 14 of 30 servers drained, and 6.5 just after a restart. Raw usage lines: a line comes only for intervals with visits, its interval is the wait since the last one, up to some 5 s; three visits over three waits are 1.5 times the rate (rate() of p.usage in logic.go). Ruled out: repeats counted twice, lost reports, the rejoining of proxies at the move (kept joined now: no difference to this). Also: errors of the list were never logged, as the inputs were cleared before.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -195,7 +195,7 @@
 	Capacity  float64 // visits a second at a busy share of 1
 	Rate      float64 // visits a second that it is sent by our tables
 	Held      float64 // part of its weight that health leaves it
-	Weight    float64 // ordered, in the first table
+	Shares    []float64 // of each table that proxies are on, as ordered
 }
 
 // ServerState is what the list says of a server.
--- a/front/relay/answer.go
+++ b/front/relay/answer.go
@@ -78,6 +78,9 @@
 	Ended
 )
 
+// String names it.
+func (w What) String() string { return [...]string{"opened", "told", "settled", "ended"}[w] }
+
 // event reads one event of the stream.
 func event(name, data string, zones []string, proxies int) (fleet.Event, error) {
 	fields, err := url.ParseQuery(data)
--- a/front/relay/front.go
+++ b/front/relay/front.go
@@ -28,6 +28,7 @@
 	lifeWithin   = 2600 * time.Millisecond // a sign of life is due every second
 	openedWithin = 1500 * time.Millisecond // answer to the asking for news
 	settledAfter = time.Second             // the opening is surely read by then, also without a sign of life
+	overlap      = 200 * time.Millisecond  // that an old stream is read on once a new one stands: news that was on its way
 	lineMost     = 64 << 10                // bytes of a line of news
 	limitPause   = 150 * time.Millisecond  // before a call refused by 'limit' goes again
 	againFirst   = 20 * time.Millisecond   // before an uncertain call goes again; doubled each time
@@ -232,17 +233,27 @@
 	redial := steer.NewRedial(f.opt.Seed)
 	var last, current, dialing uint64
 	stop := map[uint64]context.CancelFunc{}
-	opened, over := make(chan uint64), make(chan ended)
+	opened, over := make(chan opening), make(chan ended)
+	var next opening // stands, and waits for the end of the one before it
+	var wait <-chan time.Time
 	open := func() {
 		last++
 		dialing = last
 		within, cancel := context.WithCancel(ctx)
 		stop[last] = cancel
 		go func(n uint64) {
-			err := f.read(within, n, func() {
+			err := f.read(within, n, func() bool {
+				o := opening{n, make(chan bool, 1)}
 				select {
-				case opened <- n:
+				case opened <- o:
 				case <-within.Done():
+					return false
+				}
+				select {
+				case whole := <-o.begin:
+					return whole
+				case <-within.Done():
+					return false
 				}
 			})
 			select {
@@ -267,23 +278,36 @@
 				open()
 			}
 		case n := <-opened:
-			if n != dialing {
+			if n.stream != dialing {
 				continue
 			}
-			if current != 0 {
-				stop[current]()
-			}
-			current, dialing = n, 0
+			dialing = 0
 			redial.Stood()
 			f.mu.Lock()
 			f.counts.Streams++
 			f.mu.Unlock()
+			if current == 0 {
+				current = n.stream
+				n.begin <- false
+			} else { // what the old one still has to tell comes before what the new one shows
+				next, wait = n, time.After(overlap)
+			}
+		case <-wait:
+			wait = nil
+			stop[current]()
 		case e := <-over:
 			stop[e.stream]()
 			delete(stop, e.stream)
 			switch e.stream {
 			case current:
-				current = 0
+				if current = 0; next.stream != 0 {
+					current = next.stream
+					next.begin <- true
+					next, wait = opening{}, nil
+					continue
+				}
+			case next.stream:
+				next, wait = opening{}, nil
 			case dialing:
 				dialing = 0
 			default:
@@ -297,8 +321,14 @@
 	}
 }
 
+// opening is a stream that stands and waits to be let on. Its news counts from then.
+type opening struct {
+	stream uint64
+	begin  chan bool // whole: the one before it stood until now
+}
+
 // read follows one stream until it ends.
-func (f *Front) read(ctx context.Context, stream uint64, opened func()) error {
+func (f *Front) read(ctx context.Context, stream uint64, opened func() bool) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	addr := f.at()
@@ -314,8 +344,7 @@
 	if res.StatusCode != http.StatusOK {
 		return fmt.Errorf("%s: %s", addr, res.Status)
 	}
-	opened()
-	f.opt.Sink(News{Stream: stream, What: Opened})
+	f.opt.Sink(News{Stream: stream, What: Opened, Whole: opened()})
 	settled := sync.OnceFunc(func() { f.opt.Sink(News{Stream: stream, What: Settled}) })
 	timer := time.AfterFunc(settledAfter, settled)
 	defer timer.Stop()
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -104,6 +104,7 @@
 	busyAt                    int        // place of the busy share in load reports, or -1
 	near                      bool       // more proxies than a server has connections: each has a part
 	cells, parts              int        // parts a zone, to leave connections free; in all
+	strained                  int        // times in a row that the load was past squeezeAt
 	due, watching             bool       // an interval ends; no tables are laid yet
 	former, astray            bool       // proxies joined with tables of another; some are not on ours
 	now, started, countedAt   fleet.Time // of this step, of the first; when left was worked out
@@ -114,7 +115,7 @@
 	lines, left               float64    // put into the channel in all; of those surely gone from it
 	marks                     map[fleet.MarkID]float64
 	mark                      fleet.MarkID // the latest; marks has what lines were before each
-	target, load              float64      // busy share to agree on; the fleet's mean
+	target, load, squeezed    float64      // busy share to agree on; the fleet's mean; servers' worth when squeezed
 	usual, least, failing     float64      // of warm capacity: median, low quartile; failed share
 	retry                     fleet.Retry
 	orders                    []fleet.Order
@@ -208,9 +209,15 @@
 // Beliefs tells what the governor makes of each server that is ready.
 func (g *Governor) Beliefs() (told []fleet.Belief) {
 	for _, s := range g.ready {
+		shares := []float64{}
+		for t, b := range g.tables {
+			if b.users > 0 {
+				shares = append(shares, s.out[t]/max(b.total, none))
+			}
+		}
 		told = append(told, fleet.Belief{Server: s.Server, State: s.State, Cold: g.cold(s), Withdrawn: s.withdrawn,
 			Tries: s.long.tries, Failed: s.long.tries - s.long.good, Busy: s.long.busy, Latency: s.long.latency,
-			Capacity: s.capacity, Rate: s.rate, Held: s.held, Weight: s.out[0]})
+			Capacity: s.capacity, Rate: s.rate, Held: s.held, Shares: shares})
 	}
 	return told
 }
@@ -249,11 +256,14 @@
 		g.left = max(g.left, g.marks[e.Mark])
 	case fleet.Usage:
 		if p := g.joined[e.Proxy]; p != nil && int(e.Class) < len(p.usage) {
-			u := p.usage[e.Class]
+			u, span := p.usage[e.Class], e.Span
+			if len(u) > 0 { // what lines state of a long silence ends at some seconds
+				span = max(span, g.now-u[len(u)-1].at-g.turn)
+			}
 			if p.heard, u = p.usual, u[max(0, len(u)+1-few):]; e.Span > few*g.site.ReportEvery {
 				u = nil
 			}
-			p.usage[e.Class] = append(u, sample{at: g.now, span: e.Span, tries: float64(e.Visits)})
+			p.usage[e.Class] = append(u, sample{at: g.now, span: span, tries: float64(e.Visits)})
 		}
 	}
 }
@@ -395,7 +405,7 @@
 		}
 		row.demand = 0
 		for _, p := range g.proxies {
-			n := rate(p.usage[c]) * all / heard
+			n := g.visits(p, c) * all / heard
 			row.demand += n
 			g.tables[g.tableOf(c, p.part)].asked += n * row.level
 		}
@@ -444,8 +454,18 @@
 	return append(of, 0)[int(float64(len(of))*share)]
 }
 
-func rate(samples []sample) float64 {
-	tries, span := 0.0, fleet.Time(0)
+// visits a second of a class that come to a proxy. Lines tell of times with visits only, so the silence since the last one
+// counts too: where few come, three visits over the three waits before them are half as much again as they should be.
+func (g *Governor) visits(p *proxy, class int) float64 {
+	u := p.usage[class]
+	if len(u) == 0 {
+		return 0
+	}
+	return rate(u, max(0, g.newest-u[len(u)-1].at-g.turn))
+}
+
+func rate(samples []sample, span fleet.Time) float64 {
+	tries := 0.0
 	for _, m := range samples {
 		tries, span = tries+m.tries, span+m.span
 	}
@@ -468,7 +488,7 @@
 		}
 	}
 	for z := range byZone {
-		f.handled += rate(byZone[z : z+1])
+		f.handled += rate(byZone[z:z+1], 0)
 	}
 	if told > 0 {
 		f.busy = max(busyLeast, busy/told)
@@ -593,7 +613,7 @@
 		return
 	}
 	load := demand / (handled / busy * carry) // busy share that would let all in
-	g.squeeze(load)
+	g.squeeze(load, carry)
 	over := demand * max(0, 1-busyMost/load)
 	if g.retry = fleet.RetryNever; over == 0 {
 		g.retry = fleet.RetryIfNeverRan
@@ -608,12 +628,22 @@
 }
 
 // squeeze, where all is let in, gives the classes of least value a few servers to share, as a last resort.
-func (g *Governor) squeeze(load float64) {
-	if g.now < g.squeezeEnd || g.site.Admission != fleet.AdmitAll {
-		return // while it lasts the others' lighter mix tells too little of the load to end it
+func (g *Governor) squeeze(load, carry float64) {
+	if g.site.Admission != fleet.AdmitAll {
+		return
 	}
+	if g.now < g.squeezeEnd { // the others' lighter mix tells too little of the load to end it; servers that came do
+		if load = g.squeezed / carry; load > busySick {
+			return
+		}
+		g.squeezeEnd = 0
+	}
+	// Servers that go or proxies that come make what was handled lag behind for some reports: both measures must last.
 	n, work, need, refuge := float64(len(g.ready)), 0.0, 0.0, 0
-	fits := load > squeezeAt || load > busySick && g.now < g.squeezeEnd+interval
+	if g.strained++; g.watching || min(load, g.load) < squeezeAt {
+		g.strained = 0
+	}
+	fits := g.strained >= few || load > busySick && g.now < g.squeezeEnd+interval
 	for _, c := range g.classes {
 		work += c.demand * c.work
 	}
@@ -625,6 +655,9 @@
 		}
 		if c.group < 2 && !fits && need > 0 {
 			c.group, refuge, g.squeezeEnd = 1, int(n-math.Ceil(need*n)), g.now+longestHold
+			g.squeezed = load * carry
+			g.orders = append(g.orders, fleet.Log{Text: fmt.Sprintf("class %d is squeezed: load %.2f of %.1f servers' worth, %.2f by tables; %d take it",
+				id, load, carry, g.load, refuge)})
 		} else if c.group < 2 {
 			c.group = 0
 		}
@@ -645,7 +678,7 @@
 		return huge
 	}
 	for _, p := range g.proxies {
-		rates = append(rates, rate(p.usage[class]))
+		rates = append(rates, g.visits(p, class))
 	}
 	slices.Sort(rates)
 	left := c.level * c.demand
--- a/node/core.go
+++ b/node/core.go
@@ -6,6 +6,8 @@
 	"container/heap"
 	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 
 	"cressknot/fleet"
 	"cressknot/front/relay"
@@ -40,6 +42,7 @@
 	stream   uint64                 // the newest stream of news
 	joined   map[fleet.ProxyID]bool // as the module was told
 	shown    map[fleet.ProxyID]bool // by the opening of the newest stream; nil: it has shown all
+	whole    bool                   // no news was missed before that stream
 	events   []fleet.Event
 }
 
@@ -80,18 +83,21 @@
 }
 
 // Beliefs tells what the module makes of each server, by name, in few characters: name, part of its weight that health leaves it,
-// failed of tries, busy share, latency in ms, visits a second sent of those it can do, weight out.
+// failed of tries, busy share, latency in ms, visits a second sent of those it can do, share of each table in thousandths.
 func (c *Core) Beliefs() (told []string) {
 	for _, b := range c.governor.Beliefs() {
-		mark := ""
+		mark, shares := "", []string{}
+		for _, share := range b.Shares {
+			shares = append(shares, strconv.Itoa(int(1000*share+0.5)))
+		}
 		if b.Cold {
 			mark = " cold"
 		}
 		if b.Withdrawn {
 			mark += " withdrawn"
 		}
-		told = append(told, fmt.Sprintf("%s held %.2f failed %.0f/%.0f busy %.2f lat %.0f rate %.1f/%.1f out %.3f%s", c.names[b.Server], b.Held,
-			b.Failed, b.Tries, b.Busy, b.Latency.Seconds()*1000, b.Rate, b.Capacity, b.Weight, mark))
+		told = append(told, fmt.Sprintf("%s held %.2f failed %.0f/%.0f busy %.2f lat %.0f rate %.1f/%.1f out %s%s", c.names[b.Server], b.Held,
+			b.Failed, b.Tries, b.Busy, b.Latency.Seconds()*1000, b.Rate, b.Capacity, strings.Join(shares, "/"), mark))
 	}
 	return told
 }
@@ -124,14 +130,14 @@
 }
 
 // news takes in what the relay's stream told. After a break a proxy that is still there may have left and come back unseen, and is
-// then on none of our tables, so it counts as having left and joined. Who isn't shown by the opening has left.
+// then on none of our tables, so it counts as having left and joined; unless the stream before stood until the new one. Who isn't shown by the opening has left.
 func (c *Core) news(n relay.News, fx *Effects) {
 	if n.Stream < c.stream {
 		return
 	}
 	switch n.What {
 	case relay.Opened:
-		c.stream, c.shown = n.Stream, map[fleet.ProxyID]bool{}
+		c.stream, c.shown, c.whole = n.Stream, map[fleet.ProxyID]bool{}, n.Whole
 	case relay.Settled:
 		if c.shown == nil {
 			return
@@ -151,7 +157,10 @@
 		switch e := n.Event.(type) {
 		case fleet.Joined:
 			if c.shown != nil {
-				c.shown[e.Proxy] = true
+				again := c.shown[e.Proxy]
+				if c.shown[e.Proxy] = true; c.whole && !again && c.joined[e.Proxy] && !e.Fresh {
+					return // nothing was missed: it is the same stream of the proxy's
+				}
 			}
 			c.leave(e.Proxy, fx)
 			c.joined[e.Proxy] = true
@@ -164,6 +173,9 @@
 	}
 }
 
+// Joined tells how many proxies are.
+func (c *Core) Joined() int { return len(c.joined) }
+
 func (c *Core) leave(id fleet.ProxyID, fx *Effects) {
 	if !c.joined[id] {
 		return
--- a/node/loop.go
+++ b/node/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -18,6 +19,7 @@
 	urgentMost = 4096             // lists, joins, leaves, answers: whoever brings more waits
 	beliefs    = 2 * fleet.Second // what the module believes goes into the log so often
 	reportMost = 4096             // reports that wait apart; of more, those of the same line are added up
+	listMost   = 12               // servers of a list that are named in the log
 )
 
 // Mailbox takes what I/O goroutines hand in. Lists, joins and leaves are never folded: their bringers wait when it is full.
@@ -144,12 +146,17 @@
 		now := clock.Now()
 		inputs = p.Mailbox.Take(inputs[:0])
 		fx := p.Core.Turn(now, inputs)
-		clear(inputs)
 		for _, in := range inputs {
-			if u, is := in.(list.Update); is && u.Err != nil {
-				p.Log.Warn().Err(u.Err).Msg("list")
+			switch v := in.(type) {
+			case list.Update:
+				tellList(p.Log, now, v)
+			case relay.News:
+				if v.What != relay.Told {
+					p.Log.Info().Uint64("stream", v.Stream).Str("what", v.What.String()).Int("joined", p.Core.Joined()).Msg("news")
+				}
 			}
 		}
+		clear(inputs)
 		for _, id := range fx.Left {
 			p.Front.Left(id)
 		}
@@ -185,3 +192,22 @@
 		}
 	}
 }
+
+// tellList writes down what the list said.
+func tellList(log zerolog.Logger, now fleet.Time, u list.Update) {
+	if u.Err != nil {
+		log.Warn().Err(u.Err).Msg("list")
+	}
+	if u.Same || u.Scope == fleet.ListFailed {
+		return
+	}
+	var told []string
+	for _, s := range u.Doc.Servers[:min(len(u.Doc.Servers), listMost)] {
+		text := s.Name + " " + s.State
+		if !s.Started.IsZero() {
+			text += fmt.Sprintf(" up %.1f s", (now - fleet.Time(s.Started.UnixNano())).Seconds())
+		}
+		told = append(told, text)
+	}
+	log.Info().Uint64("rev", u.Doc.Rev).Bool("changes", u.Doc.Changes).Int("servers", len(u.Doc.Servers)).Strs("first", told).Msg("list")
+}
