--- a/logic/logic.go
+++ b/logic/logic.go
@@ -21,7 +21,7 @@
 	enough      = 8                 // tries that make a mean; as many go unheard by chance 1 in 3000
 	keepSamples = 128               // of a server: over two reports a second and zone within longLook
 	slack       = 1.1               // target factor: asked density may pass the fleet's mean by a tenth
-	squeezeAt   = 1.3               // part of its capacity asked of a fleet past which classes are squeezed
+	squeezeAt   = 1.0               // part of its capacity asked of a fleet past which, if that lasts, classes are squeezed
 	busyMost    = 0.74              // busy share past which chance fills some servers
 	busySick    = 0.9               // a server this busy is overloaded, so it is cut and not zeroed
 	busyLeast   = 0.05              // a busy share below this tells nothing of capacity
