Squeeze no class while many servers or proxies have just come, nor for passing load

Two classes were squeezed onto 8 to 12 servers at 12.6 s and again at 15.8 s, for 16 s. Load was overstated: what ours handled lags behind by some reports, and after a take-over busy shares hold visits that were the other governor's (admit() in logic.go). Change: load must last six rounds, servers in no table yet count, and none is squeezed while a quarter of servers or visits is new.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -21,7 +21,8 @@
 	enough      = 8                 // tries that make a mean; as many go unheard by chance 1 in 3000
 	keepSamples = 128               // of a server: over two reports a second and zone within longLook
 	slack       = 1.1               // target factor: asked density may pass the fleet's mean by a tenth
-	squeezeAt   = 1.0               // part of its capacity asked of a fleet past which, if that lasts, classes are squeezed
+	squeezeAt   = 1.0               // part of its capacity asked of a fleet past which classes are squeezed
+	squeezeWait = 6                 // rounds of levels for that: drained servers are replaced within as many s
 	busyMost    = 0.74              // busy share past which chance fills some servers
 	busySick    = 0.9               // a server this busy is overloaded, so it is cut and not zeroed
 	busyLeast   = 0.05              // a busy share below this tells nothing of capacity
@@ -73,7 +74,7 @@
 	samples                   []sample
 	long, short               figures
 	quiet, lastGood, told     fleet.Time // best latency seen; last good answer; when it was last withdrawn
-	zeroUntil, hold           fleet.Time // end of its time at zero, and how long that is
+	zeroUntil, hold, since    fleet.Time // end of its time at zero, how long that is; when it was new, 0: not
 	held                      float64    // part of its weight that health leaves it, 0 to 1
 	capacity, rate            float64    // tries a second, ours only: at a busy share of 1; that we send
 	weight, want, out         []float64  // by table: the mechanism's, wanted out, ordered
@@ -87,6 +88,7 @@
 	usual, heard float64    // visits a second, as told when it joined; the same once it was heard of
 	on           []int      // by class: its table of ours, -1: none yet
 	astray       bool       // is not on the tables it should be on
+	since        fleet.Time // when it joined
 	usage        [][]sample // by class
 }
 
@@ -115,7 +117,8 @@
 	lines, left               float64    // put into the channel in all; of those surely gone from it
 	marks                     map[fleet.MarkID]float64
 	mark                      fleet.MarkID // the latest; marks has what lines were before each
-	target, load, squeezed    float64      // busy share to agree on; the fleet's mean; servers' worth when squeezed
+	moved                     float64      // part of the visits, or of servers, that came within the long look
+	target, load, squeezed    float64      // busy share to agree on; the fleet's mean; that on one server
 	usual, least, failing     float64      // of warm capacity: median, low quartile; failed share
 	retry                     fleet.Retry
 	orders                    []fleet.Order
@@ -229,7 +232,7 @@
 	case fleet.Joined:
 		g.leave(e.Proxy)
 		n := len(g.classes)
-		p := &proxy{id: e.Proxy, usual: max(none, e.Weight), on: slices.Repeat([]int{-1}, n),
+		p := &proxy{id: e.Proxy, since: g.now, usual: max(none, e.Weight), on: slices.Repeat([]int{-1}, n),
 			part: min(int(e.Zone), len(g.site.Zones)-1)*g.cells + int(e.Proxy)%g.cells, usage: make([][]sample, n)}
 		g.joined[p.id], g.proxies, g.alarmAt = p, append(g.proxies, p), g.now
 		g.former = g.former || !e.Fresh
@@ -302,9 +305,9 @@
 			continue
 		}
 		*s = server{Entry: s.Entry, weight: s.weight, want: s.want, out: s.out, withdrawn: s.withdrawn,
-			told: s.told, part: s.part, lastGood: g.now + interval, held: quarter}
+			told: s.told, part: s.part, since: g.now, lastGood: g.now + interval, held: quarter}
 		if atStart && !g.cold(s) { // it was up before we were: not fresh
-			s.held = 1
+			s.held, s.since = 1, 0
 		}
 		for t, b := range g.tables {
 			if s.weight[t] = 1; g.near && s.part != b.part {
@@ -326,8 +329,8 @@
 // Knows tells whether a server is one that the governor still has to do with.
 func (g *Governor) Knows(id fleet.ServerID) bool { return g.known[id] != nil }
 
-// forget drops servers that are gone and in no table of ours: each that starts has a new id, without end. Proxies that
-// come with former tables may still send there, so it waits for these to be on ours.
+// forget drops servers that are gone and in no table of ours: each that starts has a new id, without end.
+// Proxies that come with former tables may still send there, so it waits for these to be on ours.
 func (g *Governor) forget() {
 	g.servers = slices.DeleteFunc(g.servers, func(s *server) bool {
 		old := s.State == fleet.Gone && s.withdrawn && g.now > s.told+longestHold
@@ -367,9 +370,12 @@
 func (g *Governor) count() {
 	lines := float64(len(g.proxies) * len(g.classes))
 	g.ready, g.home, g.astray = nil, make([]bool, len(g.site.Zones)), false
+	anew := 0.0
 	for _, s := range g.servers {
 		if s.State == fleet.Ready {
-			g.ready = append(g.ready, s)
+			if g.ready = append(g.ready, s); s.since > 0 && g.now < s.since+longLook {
+				anew++
+			}
 		}
 	}
 	for t, b := range g.tables {
@@ -383,8 +389,11 @@
 			}
 		}
 	}
-	all, heard := none, none
+	all, heard, come := none, none, 0.0
 	for _, p := range g.proxies {
+		if g.now < p.since+longLook {
+			come += p.usual
+		}
 		if !g.home[p.part/g.cells] {
 			lines += float64(len(g.ready))
 		}
@@ -397,6 +406,7 @@
 			}
 		}
 	}
+	g.moved = max(come/all, anew/max(1, float64(len(g.ready))))
 	g.turn = max(g.site.ReportEvery, fleet.Second.Scale(lines/max(1, g.site.ReportsPerS)))
 	for c := range g.classes {
 		row := &g.classes[c]
@@ -454,8 +464,8 @@
 	return append(of, 0)[int(float64(len(of))*share)]
 }
 
-// visits a second of a class that come to a proxy. Lines tell of times with visits only, so the silence since the last one
-// counts too: where few come, three visits over the three waits before them are half as much again as they should be.
+// visits a second of a class that come to a proxy. Lines tell of times with visits only, so the silence since
+// the last one counts too: where few come, three visits over the three waits before them are half too many.
 func (g *Governor) visits(p *proxy, class int) float64 {
 	u := p.usage[class]
 	if len(u) == 0 {
@@ -593,10 +603,12 @@
 
 // admit lets in what the fleet can handle on time, least value cut first; strained, it gets no further tries.
 func (g *Governor) admit() {
-	handled, busy, carry, demand := 0.0, 0.0, 0.0, 0.0
+	handled, busy, carry, coming, demand := 0.0, 0.0, 0.0, 0.0, 0.0
 	for _, s := range g.ready {
-		if s.held > 0 && (s.rate > none || g.watching) {
-			carry += min(1, s.held+quarter) * g.can(s)
+		if can := min(1, s.held+quarter) * g.can(s); s.held > 0 && (s.rate > none || g.watching) {
+			carry += can
+		} else if s.held > 0 { // fresh, in no table yet
+			coming += can
 		}
 		if g.carries(s) && s.short.busy >= 0 {
 			part := 1.0
@@ -613,7 +625,7 @@
 		return
 	}
 	load := demand / (handled / busy * carry) // busy share that would let all in
-	g.squeeze(load, carry)
+	g.squeeze(load*carry/(carry+coming), carry+coming)
 	over := demand * max(0, 1-busyMost/load)
 	if g.retry = fleet.RetryNever; over == 0 {
 		g.retry = fleet.RetryIfNeverRan
@@ -632,18 +644,19 @@
 	if g.site.Admission != fleet.AdmitAll {
 		return
 	}
-	if g.now < g.squeezeEnd { // the others' lighter mix tells too little of the load to end it; servers that came do
+	if g.now < g.squeezeEnd { // the others' lighter mix tells too little of the load to end it; new servers do
 		if load = g.squeezed / carry; load > busySick {
 			return
 		}
 		g.squeezeEnd = 0
 	}
-	// Servers that go or proxies that come make what was handled lag behind for some reports: both measures must last.
+	// What was handled lags behind for some reports where servers go, so both measures must last. Where many
+	// servers or proxies have just come, it says nothing: busy shares tell of visits that were another's.
 	n, work, need, refuge := float64(len(g.ready)), 0.0, 0.0, 0
-	if g.strained++; g.watching || min(load, g.load) < squeezeAt {
+	if g.strained++; g.watching || g.moved > quarter || min(load, g.load) < squeezeAt {
 		g.strained = 0
 	}
-	fits := g.strained >= few || load > busySick && g.now < g.squeezeEnd+interval
+	fits := g.strained >= squeezeWait || load > busySick && g.now < g.squeezeEnd+interval
 	for _, c := range g.classes {
 		work += c.demand * c.work
 	}
@@ -656,7 +669,8 @@
 		if c.group < 2 && !fits && need > 0 {
 			c.group, refuge, g.squeezeEnd = 1, int(n-math.Ceil(need*n)), g.now+longestHold
 			g.squeezed = load * carry
-			g.orders = append(g.orders, fleet.Log{Text: fmt.Sprintf("class %d is squeezed: load %.2f of %.1f servers' worth, %.2f by tables; %d take it",
+			g.orders = append(g.orders, fleet.Log{Text: fmt.Sprintf(
+				"class %d is squeezed: load %.2f of %.1f servers' worth, %.2f by tables; %d take it",
 				id, load, carry, g.load, refuge)})
 		} else if c.group < 2 {
 			c.group = 0
