--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -192,9 +192,9 @@
 	Failed    float64 // of those
 	Busy      float64 // share of its time, negative: not told
 	Latency   Time
-	Capacity  float64 // visits a second at a busy share of 1
-	Rate      float64 // visits a second that it is sent by our tables
-	Held      float64 // part of its weight that health leaves it
+	Capacity  float64   // visits a second at a busy share of 1
+	Rate      float64   // visits a second that it is sent by our tables
+	Held      float64   // part of its weight that health leaves it
 	Shares    []float64 // of each table that proxies are on, as ordered
 }
 
