Count proxies shown again on their tables; bind those that wait before ordinary lines

The module heard 382 times left and joined, so no table had users and its lines were free; at the relay all were still bound. Also: answers to m24, the newest mark of a folded call, let 39,000 lines that came with it count as gone (26.201 ACK m24 1/382, left 267983 -> 306742). At fault: node/core.go news, logic.go observe of Joined, front/relay/queue.go fold.

Tests: TestProxiesShownAgainAreBoundInTime, tried without each mend (a line of 120 counted as 0; 29 wait). TestFoldKeepsATableFilled now asks for the first mark of folded calls: the newest told more than had left.

--- a/front/relay/queue.go
+++ b/front/relay/queue.go
@@ -115,7 +115,8 @@
 	return o.key().kind
 }
 
-// fold makes one call of orders that were to be several. In the end the same holds as after all of them in turn.
+// fold makes one call of orders that were to be several. In the end the same holds as after all of them in turn. Of marks the first
+// is kept.
 func fold(ops []Op) []Op {
 	last := make(map[key]int, len(ops))
 	cleared := map[uint16]int{}
@@ -129,6 +130,9 @@
 	for i, o := range ops {
 		k := o.key()
 		at, wiped := cleared[k.table]
+		if k.kind == placeMark { // an answer tells of what was put before the first of them, and of no more
+			last[k] = slices.IndexFunc(ops, func(o Op) bool { return o.key().kind == placeMark })
+		}
 		if last[k] == i && !(wiped && at > i && (k.kind == placeShare || k.kind == placeLevel)) {
 			out = append(out, o)
 		}
--- a/front/relay/relay_test.go
+++ b/front/relay/relay_test.go
@@ -223,7 +223,7 @@
 	for _, o := range folded {
 		text = append(text, o.Text(classes))
 	}
-	if got := strings.Join(text, ";"); got != "share,1,new,1;share,1,old,0;withdraw,old;mark,2,0" {
+	if got := strings.Join(text, ";"); got != "share,1,new,1;share,1,old,0;withdraw,old;mark,1,0" {
 		t.Errorf("folded to %s", got)
 	}
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -9,6 +9,7 @@
 	"maps"
 	"math"
 	"slices"
+	"sort"
 
 	"cressknot/fleet"
 )
@@ -94,6 +95,7 @@
 	on           []int      // by class: its table of ours, -1: none yet
 	astray       bool       // is not on the tables it should be on, or nobody knows whether it is
 	unsure       bool       // nobody knows whether it was bound
+	warned       bool       // had to wait for its table and hears of earlier withdrawals
 	since        fleet.Time // when it joined
 	usage        [][]sample // by class
 }
@@ -236,15 +238,16 @@
 	case fleet.List:
 		g.list(e)
 	case fleet.Joined:
-		g.leave(e.Proxy)
-		n := len(g.classes)
-		p := &proxy{id: e.Proxy, since: g.now, usual: max(none, e.Weight), on: slices.Repeat([]int{-1}, n),
-			part: min(int(e.Zone), len(g.site.Zones)-1)*g.cells + int(e.Proxy)%g.cells, usage: make([][]sample, n)}
-		g.joined[p.id], g.proxies, g.alarmAt = p, append(g.proxies, p), g.now
-		g.former = g.former || !e.Fresh
-		slices.SortFunc(g.proxies, func(a, b *proxy) int { return cmp.Compare(a.id, b.id) })
-		for _, s := range g.servers { // one that must wait for its table has not heard of these
-			s.doubted = s.doubted || s.withdrawn && g.now <= s.told+few*interval
+		p, n := g.joined[e.Proxy], len(g.classes)
+		if g.alarmAt = g.now; p != nil && !e.Fresh { // it may have left unseen: on our tables still or not
+			p.unsure, p.warned, p.since = true, false, g.now
+		} else {
+			g.leave(e.Proxy)
+			p = &proxy{id: e.Proxy, since: g.now, usual: max(none, e.Weight), on: slices.Repeat([]int{-1}, n),
+				part: min(int(e.Zone), len(g.site.Zones)-1)*g.cells + int(e.Proxy)%g.cells, usage: make([][]sample, n)}
+			at := sort.Search(len(g.proxies), func(i int) bool { return g.proxies[i].id >= p.id })
+			g.joined[p.id], g.proxies = p, slices.Insert(g.proxies, at, p)
+			g.former = g.former || !e.Fresh
 		}
 	case fleet.Left:
 		g.leave(e.Proxy)
@@ -263,10 +266,10 @@
 		}
 	case fleet.Applied: // messages leave in their order
 		if m := g.marks[e.Mark]; m != nil {
-			m.answers++
-			if sent := m.before + m.lines*min(1, (m.answers-1)/m.reached); sent > g.answered {
+			if sent := m.before + m.lines*min(1, m.answers/m.reached); sent > g.answered {
 				g.answered, g.left = sent, sent // also where it is slower than counted on
 			}
+			m.answers++
 			maps.DeleteFunc(g.marks, func(_ fleet.MarkID, m *marked) bool { return m.before+m.lines <= g.answered })
 		}
 	case fleet.Unconfirmed:
@@ -441,14 +444,19 @@
 			lines += float64(len(g.ready))
 		}
 		g.home[p.part/g.cells], p.astray, all, heard = true, p.unsure, all+p.usual, heard+p.heard
-		g.astray = g.astray || p.unsure
 		for c, t := range p.on {
 			p.astray = p.astray || t != g.tableOf(c, p.part)
-			g.astray = g.astray || p.astray
 			if t >= 0 && !slices.Contains(p.on[:c], t) {
 				g.tables[t].users++
 			}
 		}
+		if g.astray = g.astray || p.astray; p.astray && !p.warned && g.now >= p.since+g.site.DrainGrace/4 {
+			p.warned = true
+			for _, s := range g.servers {
+				since := p.since - s.told
+				s.doubted = s.doubted || s.withdrawn && since >= 0 && since <= few*interval
+			}
+		}
 	}
 	g.moved = max(come/all, anew/max(1, float64(len(g.ready))))
 	g.turn = max(g.site.ReportEvery, fleet.Second.Scale(lines/max(1, g.site.ReportsPerS)))
@@ -805,16 +813,14 @@
 		return
 	}
 	most := max(1, cmp.Or(g.site.MessagesMost, huge)-spareWrites)
-	gap := max(2*heartbeat, g.site.MessagesOver/fleet.Time(most))
-	before := g.lines
+	gap, before := max(2*heartbeat, g.site.MessagesOver/fleet.Time(most)), g.lines
 	if g.now >= g.wroteAt+gap {
 		g.publish()
 	}
-	reached := g.join()
-	if g.wroteAt == g.now {
-		reached = len(g.proxies)
-	}
-	if g.lines > before {
+	if reached := g.join(); g.lines > before {
+		if g.wroteAt == g.now {
+			reached = len(g.proxies)
+		}
 		g.mark = (g.mark + 1) % 65536
 		g.marks[g.mark] = &marked{before: before, lines: g.lines - before, reached: float64(reached)}
 		g.orders = append(g.orders, fleet.Mark{ID: g.mark})
@@ -861,6 +867,11 @@
 	}
 	// Proxies go by ratios, so a factor common to most lines of a table is no change.
 	ordinary, lines := g.pieceAt > 0 && g.now >= g.pieceAt, []line{}
+	// What leaves until the next go; and proxies off their tables come first.
+	kept := max(0, room*g.site.BacklogMost-g.site.LinesPerS*interval.Seconds()*room)
+	if g.astray {
+		kept = max(kept, room*room*g.site.BacklogMost)
+	}
 	for t, b := range g.tables {
 		scale := []float64{}
 		for _, s := range g.servers {
@@ -896,7 +907,8 @@
 	slices.SortStableFunc(lines, func(a, b line) int { return cmp.Compare(b.size, a.size) })
 	for _, l := range lines {
 		on := g.tables[l.Table].users
-		if fit -= on; on > 0 && fit < 0 && (l.size < huge || fit < -(quarter+tenth)*g.site.BacklogMost) {
+		fit -= on
+		if on > 0 && (l.size < huge && fit < kept || fit < -(quarter+tenth)*g.site.BacklogMost) {
 			g.pieceAt = g.now + interval/2
 			continue
 		}
@@ -928,7 +940,11 @@
 				lines += 1 + b.lines
 			}
 		}
-		if g.watching || g.waiting() > 0 && g.waiting()+lines > room*room*g.site.BacklogMost {
+		most := room
+		if g.now >= p.since+g.site.DrainGrace/8 { // it may send to servers that are out
+			most += quarter + tenth
+		}
+		if g.watching || g.waiting() > 0 && g.waiting()+lines > most*g.site.BacklogMost {
 			continue
 		}
 		g.lines, g.orders, p.unsure = g.lines+lines, append(g.orders, binds...), false
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand"
 	"reflect"
+	"slices"
 	"testing"
 	"testing/quick"
 	"time"
@@ -371,6 +372,67 @@
 	})
 }
 
+// Found on a day of bengal-bookings on which the news broke: the proxies were where they were and their tables still cost lines, but counted as
+// on none, so a release's changes went out for nothing. And on one of many joins: those that waited heard again of each withdrawal of the
+// last seconds, at a line a proxy each, which left no room to bind them.
+func TestProxiesShownAgainAreBoundInTime(t *testing.T) {
+	for _, back := range []int{0, 60} { // that had left, and hold former tables
+		y := newYard(17, 150, 120)
+		y.site.LinesPerS, y.site.BacklogMost, y.site.ConnLeast, y.site.DrainGrace = 8000, 40000, 0, 6*fleet.Second
+		if back == 0 {
+			y.site.BacklogMost = 9000
+		}
+		y.start(fleet.ListCached)
+		y.run(20, 0)
+		var events []fleet.Event
+		for id := range back {
+			events = append(events, y.leave(id, false))
+		}
+		y.step(events)
+		changed := fleet.List{Scope: fleet.ListDelta}
+		for i, m := range y.servers[:90] {
+			if i < 45 && back > 0 {
+				m.State, m.told = fleet.Draining, y.now
+			} else {
+				m.sick = 0.9
+			}
+			changed.Entries = append(changed.Entries, m.Entry)
+		}
+		y.step([]fleet.Event{changed})
+		y.run(1, 0)
+		events = nil
+		for id, h := range y.holders {
+			if id < back {
+				events = append(events, y.join(id))
+			} else if back == 0 { // shown after a break
+				events = append(events, fleet.Joined{Proxy: fleet.ProxyID(id), Zone: h.zone})
+			}
+		}
+		y.step(events)
+		for table, b := range y.governor.tables {
+			users := 0.0
+			for _, h := range y.holders {
+				if slices.Contains(h.on, table) {
+					users++
+				}
+			}
+			if back == 0 && b.users < users {
+				t.Errorf("%d back: a line of table %d costs %.0f, and is counted as %.0f", back, table, users, b.users)
+			}
+		}
+		y.run(8, 0)
+		waits := 0
+		for _, p := range y.governor.proxies {
+			if p.astray {
+				waits++
+			}
+		}
+		if y.broken != "" || waits > 0 {
+			t.Errorf("%d back: %d wait for their tables; %s", back, waits, y.broken)
+		}
+	}
+}
+
 // A proxy joins just after a withdrawal, which it may not have heard of, and the server comes back in the same step: it must be let in again.
 func TestServerBackAsAProxyJoins(t *testing.T) {
 	y := newYard(9, 8, 4)
--- a/node/core.go
+++ b/node/core.go
@@ -132,7 +132,8 @@
 }
 
 // news takes in what the relay's stream told. After a break a proxy that is still there may have left and come back unseen, and is
-// then on none of our tables, so it counts as having left and joined; unless the stream before stood until the new one. Who isn't shown by the opening has left.
+// then on none of our tables, so the module hears that it joined though it never heard that it left; unless the stream before stood until
+// the new one. Who isn't shown by the opening has left.
 func (c *Core) news(n relay.News, fx *Effects) {
 	if n.Stream < c.stream {
 		return
@@ -160,8 +161,11 @@
 		case fleet.Joined:
 			if c.shown != nil {
 				again := c.shown[e.Proxy]
-				if c.shown[e.Proxy] = true; c.whole && !again && c.joined[e.Proxy] && !e.Fresh {
-					return // nothing was missed: it is the same stream of the proxy's
+				if c.shown[e.Proxy] = true; !again && c.joined[e.Proxy] && !e.Fresh {
+					if !c.whole { // it may have left and come back unseen, or be where it was
+						c.events = append(c.events, e)
+					}
+					return
 				}
 			}
 			c.leave(e.Proxy, fx)
