--- a/front/relay/answer.go
+++ b/front/relay/answer.go
@@ -68,7 +68,7 @@
 }
 
 // Unconfirmed are orders of which nobody knows whether they were carried out. They are not sent again.
-type Unconfirmed struct{ Orders []fleet.Order }
+type Unconfirmed struct{ Ops []Op }
 
 // What is a kind of news.
 type What uint8
--- a/front/relay/front.go
+++ b/front/relay/front.go
@@ -27,7 +27,6 @@
 	answerMost   = 64 << 10                // bytes of an answer
 	lifeWithin   = 2600 * time.Millisecond // a sign of life is due every second
 	openedWithin = 1500 * time.Millisecond // answer to the asking for news
-	settledAfter = time.Second             // the opening is surely read by then, also without a sign of life
 	overlap      = 200 * time.Millisecond  // that an old stream is read on once a new one stands: news that was on its way
 	lineMost     = 64 << 10                // bytes of a line of news
 	limitPause   = 150 * time.Millisecond  // before a call refused by 'limit' goes again
@@ -239,6 +238,7 @@
 	stop := map[uint64]context.CancelFunc{}
 	opened, over := make(chan opening), make(chan ended)
 	var next opening // stands, and waits for the end of the one before it
+	var read bool    // the one before it was read to the end of the overlap
 	var wait <-chan time.Time
 	open := func() {
 		last++
@@ -298,10 +298,10 @@
 				current = n.stream
 				n.begin <- false
 			} else { // what the old one still has to tell comes before what the new one shows
-				next, wait = n, time.After(overlap)
+				next, read, wait = n, false, time.After(overlap)
 			}
 		case <-wait:
-			wait = nil
+			wait, read = nil, true
 			stop[current]()
 		case e := <-over:
 			stop[e.stream]()
@@ -310,7 +310,7 @@
 			case current:
 				if current = 0; next.stream != 0 {
 					current = next.stream
-					next.begin <- true
+					next.begin <- read || errors.Is(e.err, io.ErrUnexpectedEOF) // a reset may take with it what was not read yet
 					next, wait = opening{}, nil
 					continue
 				}
@@ -357,9 +357,7 @@
 		return err
 	}
 	f.opt.Sink(News{Stream: stream, What: Opened, Whole: whole})
-	settled := sync.OnceFunc(func() { f.opt.Sink(News{Stream: stream, What: Settled}) })
-	timer := time.AfterFunc(settledAfter, settled)
-	defer timer.Stop()
+	settled := sync.OnceFunc(func() { f.opt.Sink(News{Stream: stream, What: Settled}) }) // a sign of life is due within a second
 	watchdog := time.AfterFunc(lifeWithin, func() { cancel(fmt.Errorf("silent for %v", lifeWithin)) })
 	defer watchdog.Stop()
 	lines := bufio.NewScanner(res.Body)
--- a/front/relay/queue.go
+++ b/front/relay/queue.go
@@ -218,7 +218,7 @@
 
 // Done takes in what became of the call. What is left out for good is told, and what nobody knows of, unless newer orders that wait
 // set the same: it isn't sent again, as that may cost its lines in the channel once more.
-func (q *Queue) Done(was Outcome, taken int) (out []string, unconfirmed []fleet.Order) {
+func (q *Queue) Done(was Outcome, taken int) (out []string, unconfirmed []Op) {
 	q.tries++
 	switch {
 	case was == Refused: // newer orders may take the place of these
@@ -230,7 +230,7 @@
 		}
 		for _, o := range q.call {
 			if b, is := o.Order.(fleet.Bind); !newer[o.key()] && !(is && q.left[b.Proxy]) {
-				unconfirmed = append(unconfirmed, o.Order)
+				unconfirmed = append(unconfirmed, o)
 			}
 		}
 		q.call = nil
--- a/intake/collector/collector_test.go
+++ b/intake/collector/collector_test.go
@@ -197,3 +197,87 @@
 		t.Error(err)
 	}
 }
+
+// links waits until a server has so many connections and gives them.
+func links(t *testing.T, s *Server, n int) (all []*link) {
+	t.Helper()
+	for late := time.Now().Add(20 * time.Second); time.Now().Before(late); time.Sleep(time.Millisecond) {
+		all = nil
+		s.links.Range(func(_, l any) bool { all = append(all, l.(*link)); return true })
+		if len(all) == n {
+			return all
+		}
+	}
+	t.Fatalf("%d connections, not %d", len(all), n)
+	return nil
+}
+
+// The refusal of a connection that hasn't joined in time crosses with its joining, and its end does: one of both holds, and the lists keep no
+// connection that is gone.
+func TestRefusalCrossesWithJoining(t *testing.T) {
+	s, _ := serve(t, 1024)
+	c := dial(t, s.Addr(), "")
+	l := links(t, s, 1)[0]
+	s.mu.Lock() // both come to the lock in the same instant
+	done := make(chan bool, 2)
+	go func() { l.refuseStranger(errors.New("has not joined")); done <- true }()
+	go func() { l.join(0); done <- true }()
+	s.mu.Unlock()
+	<-done
+	<-done
+	s.mu.Lock()
+	joined := l.joined
+	s.mu.Unlock()
+	if joined == l.over.Load() {
+		t.Errorf("joined %v and refused %v", joined, l.over.Load())
+	}
+	c.Close()
+	links(t, s, 0)
+
+	dial(t, s.Addr(), "")
+	l = links(t, s, 1)[0]
+	l.refuseStranger(errors.New("has not joined"))
+	links(t, s, 0)
+	l.join(0) // its line was read before
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.collectors[0]) > 0 || len(s.strangers) > 0 {
+		t.Errorf("%d collectors, %d strangers of connections that are gone", len(s.collectors[0]), len(s.strangers))
+	}
+}
+
+// A ping comes in pieces, and the bytes behind a refusal count no more; nor do they on the connection that gets its descriptor next.
+func TestPiecesAndWhatComesAfterAClose(t *testing.T) {
+	s, got := serve(t, 1024)
+	c := dial(t, s.Addr(), "pi")
+	links(t, s, 1)
+	for _, piece := range []string{"n", "g\r", "\n"} {
+		if _, err := io.WriteString(c, piece); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if answer, err := bufio.NewReader(c).ReadString('\n'); answer != "pong\r\n" {
+		t.Fatalf("%q, %v", answer, err)
+	}
+	l := links(t, s, 1)[0]
+	l.refuse(errors.New("over"))
+	l.feed([]byte("collector locality=a\r\nheard locality=a endpoint=s total=1 errors=0 rtt=1 interval=1\r\n"))
+	if err := ended(c); err != nil {
+		t.Error(err)
+	}
+	links(t, s, 0)
+	next := dial(t, s.Addr(), "collector locality=a\r\n")
+	links(t, s, 1)
+	l.refuse(errors.New("late")) // of the one before
+	if _, err := io.WriteString(next, "heard locality=a endpoint=s2 total=1 errors=0 rtt=1 interval=1\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case r := <-got:
+		if r.Server != "s2" {
+			t.Errorf("%+v, sent after the close", r)
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("the next connection is not heard")
+	}
+}
--- a/intake/collector/server.go
+++ b/intake/collector/server.go
@@ -61,6 +61,7 @@
 	server   *Server
 	conn     *nbio.Conn
 	joined   bool // under the lock of the server, as others may refuse it
+	out      bool // refused or gone, under that lock too: it joins no more
 	zone     fleet.ZoneID
 	rest     []byte // of a message that has not ended
 	seen     int    // bytes of it that are known to be text
@@ -134,9 +135,10 @@
 func (l *link) refuseStranger(why error) {
 	s := l.server
 	s.mu.Lock()
-	stranger := !l.joined
+	stranger := !l.joined && !l.out
+	l.out = l.out || stranger
 	s.mu.Unlock()
-	if stranger && !l.over.Load() {
+	if stranger {
 		l.refuse(why)
 	}
 }
@@ -158,6 +160,7 @@
 	s := l.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	l.out = true
 	without := func(of []*link) []*link {
 		return slices.DeleteFunc(of, func(x *link) bool { return x == l })
 	}
@@ -269,8 +272,12 @@
 // join makes a connection a collector's. Of one zone there are few: the oldest goes.
 func (l *link) join(zone fleet.ZoneID) {
 	s := l.server
-	s.joined.Add(1)
 	s.mu.Lock()
+	if l.out { // refused in the same instant
+		s.mu.Unlock()
+		return
+	}
+	s.joined.Add(1)
 	l.joined, l.zone = true, zone
 	s.strangers = slices.DeleteFunc(s.strangers, func(x *link) bool { return x == l })
 	var old *link
--- a/list/platform.go
+++ b/list/platform.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -24,6 +25,7 @@
 	platformDial   = time.Second             // on one network; a machine that is cut off never answers
 	platformHead   = 3 * time.Second         // it handles calls one after another, and turns away what waits some seconds
 	platformSilent = 3500 * time.Millisecond // an empty line is due every 2 s; what it has to tell counts as told after 6 s
+	platformWhole  = 6 * time.Second         // for one line: what takes longer counts as told before it is read
 	platformLine   = 8 << 20                 // bytes of one object: some 50,000 servers
 	platformNames  = 128                     // bytes of a name or an address
 )
@@ -37,6 +39,7 @@
 	Kinds  []string
 	Notice func(error) // hears of what failed without an update, such as a move; may be nil
 
+	whole   time.Duration // for one line
 	sink    func(Update)
 	client  http.Client
 	kick    chan struct{}
@@ -51,6 +54,7 @@
 // said is what one connection told.
 type said struct {
 	from *platformWatch // nil: a fetch
+	rev  uint64         // of a fetch: what was known when it was asked
 	doc  *Document      // nil and no error: a sign of life
 	err  error
 }
@@ -63,6 +67,7 @@
 // Start begins to talk once it is asked.
 func (p *Platform) Start(ctx context.Context, sink func(Update)) error {
 	p.sink, p.kick, p.told, p.addr = sink, make(chan struct{}, 1), make(chan said), p.Addr
+	p.whole = cmp.Or(p.whole, platformWhole)
 	dialer := net.Dialer{Timeout: platformDial}
 	p.client.Transport = &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true,
 		DisableCompression: true, ResponseHeaderTimeout: platformHead, MaxResponseHeaderBytes: 16 << 10}
@@ -122,7 +127,7 @@
 				next = p.open(ctx, addr, false)
 			}
 			for ; fetches > 0; fetches-- {
-				go p.fetch(ctx, addr)
+				go p.fetch(ctx, addr, p.Rev)
 			}
 		case m := <-p.told:
 			switch {
@@ -161,9 +166,11 @@
 
 // take tells what came. At a change of addresses what is known already is told by both: it counts once.
 func (p *Platform) take(m said, moved bool) {
-	waited := m.from != nil && m.from.waited
+	waited := m.from == nil || m.from.waited
 	if m.from != nil {
 		m.from.waited = false
+	} else if m.doc != nil && m.doc.Rev < p.Rev && m.doc.Rev >= m.rev { // a watch told newer things while it was on its way
+		m.doc = nil
 	}
 	switch {
 	case m.err != nil:
@@ -200,7 +207,7 @@
 	}
 }
 
-func (p *Platform) fetch(ctx context.Context, addr string) {
+func (p *Platform) fetch(ctx context.Context, addr string, rev uint64) {
 	within, cancel := context.WithTimeout(ctx, platformHead+platformSilent)
 	defer cancel()
 	var doc *Document
@@ -219,7 +226,7 @@
 	if err != nil {
 		err = fmt.Errorf("list: %s: %w", addr, err)
 	}
-	p.say(ctx, said{doc: doc, err: err})
+	p.say(ctx, said{doc: doc, err: err, rev: rev})
 }
 
 func (p *Platform) get(ctx context.Context, url string) (io.ReadCloser, error) {
@@ -249,6 +256,8 @@
 	defer body.Close()
 	watchdog := time.AfterFunc(platformSilent, func() { cancel(fmt.Errorf("silent for %v", platformSilent)) })
 	defer watchdog.Stop()
+	whole := time.AfterFunc(p.whole, func() { cancel(fmt.Errorf("no line ended within %v", p.whole)) })
+	defer whole.Stop()
 	lines := bufio.NewScanner(readerFunc(func(to []byte) (int, error) {
 		n, err := body.Read(to)
 		watchdog.Reset(platformSilent)
@@ -257,6 +266,7 @@
 	lines.Buffer(make([]byte, 0, 4<<10), platformLine)
 	lines.Split(wholeLines)
 	for lines.Scan() {
+		whole.Reset(p.whole)
 		text := bytes.TrimSpace(lines.Bytes())
 		if len(text) == 0 {
 			tell(nil)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -408,9 +408,6 @@
 	for t, b := range g.tables {
 		g.tables[t] = table{group: b.group, part: b.part}
 		for _, s := range g.servers {
-			if s.out[t] > 0 || s.withdrawn {
-				g.tables[t].lines++
-			}
 			if s.State == fleet.Ready && !s.withdrawn {
 				g.tables[t].total += s.out[t]
 			}
@@ -870,7 +867,7 @@
 		unit := cmp.Or(quantile(scale, 0.5), 1)
 		for _, s := range g.servers {
 			w, o := s.want[t]*unit, s.out[t]
-			if b.users == 0 && s.want[t] < tenth*top { // would make joins dear; nobody misses it till then
+			if (b.users == 0 || g.near) && s.want[t] < tenth*top { // would make joins dear; nobody misses it till then
 				w = 0
 			}
 			change, idle := math.Abs(w-o), b.total > 0 || b.users == 0
@@ -917,6 +914,16 @@
 
 // join puts proxies on their tables, those with most visits first, as many as the channel has room for.
 func (g *Governor) join() (bound int) {
+	for t := range g.tables { // as they are now that lines went out
+		for _, s := range g.servers {
+			if s.out[t] > 0 {
+				g.tables[t].lines++
+			}
+			if s.out[t] > 0 && s.withdrawn {
+				g.tables[t].lines++
+			}
+		}
+	}
 	astray := slices.DeleteFunc(slices.Clone(g.proxies), func(p *proxy) bool { return !p.astray })
 	slices.SortStableFunc(astray, func(a, b *proxy) int { return cmp.Compare(b.usual, a.usual) })
 	for _, p := range astray {
--- a/node/core.go
+++ b/node/core.go
@@ -16,6 +16,8 @@
 	"cressknot/logic"
 )
 
+const owedMost = 4096 // names kept of servers that may be shut out still: some hundred releases of lost calls
+
 // Input is something that came in: a relay.News, a relay.Unconfirmed, a collector.Report or a list.Update.
 type Input any
 
@@ -43,13 +45,14 @@
 	joined   map[fleet.ProxyID]bool // as the module was told
 	shown    map[fleet.ProxyID]bool // by the opening of the newest stream; nil: it has shown all
 	whole    bool                   // no news was missed before that stream
+	owed     map[string]bool        // servers forgotten since, of which nobody knows whether they were let in again
 	events   []fleet.Event
 }
 
 // NewCore makes a core that starts from the list as it was held last.
 func NewCore(site fleet.Site, seed uint64, known list.Document) *Core {
 	c := &Core{site: site, governor: logic.New(site, seed), ids: map[string]fleet.ServerID{},
-		names: map[fleet.ServerID]string{}, fresh: map[fleet.ServerID]bool{}, joined: map[fleet.ProxyID]bool{}}
+		names: map[fleet.ServerID]string{}, fresh: map[fleet.ServerID]bool{}, joined: map[fleet.ProxyID]bool{}, owed: map[string]bool{}}
 	c.list(list.Update{Scope: fleet.ListCached, Doc: known})
 	return c
 }
@@ -61,7 +64,7 @@
 		case relay.News:
 			c.news(v, &fx)
 		case relay.Unconfirmed:
-			c.events = append(c.events, fleet.Unconfirmed{Orders: v.Orders})
+			c.unconfirmed(v.Ops)
 		case list.Update:
 			c.list(v)
 		case collector.Report:
@@ -179,6 +182,28 @@
 	}
 }
 
+// unconfirmed hands on orders that were carried out or not. Where a server was forgotten since, its name counts: one that is
+// back under it has the id that it has now, and one that isn't may come back, and may then still be shut out.
+func (c *Core) unconfirmed(ops []relay.Op) {
+	var orders []fleet.Order
+	for _, o := range ops {
+		w, is := o.Order.(fleet.Withdraw)
+		if is && !c.governor.Knows(w.Server) && !c.fresh[w.Server] {
+			id, back := c.ids[o.Server]
+			if !back || id == w.Server {
+				if len(c.owed) < owedMost {
+					c.owed[o.Server] = true
+				}
+				continue
+			}
+			w.Server = id
+			o.Order = w
+		}
+		orders = append(orders, o.Order)
+	}
+	c.events = append(c.events, fleet.Unconfirmed{Orders: orders})
+}
+
 // Joined tells how many proxies are.
 func (c *Core) Joined() int { return len(c.joined) }
 
@@ -217,6 +242,7 @@
 			delete(c.ids, name)
 		}
 	}
+	var again []fleet.Order
 	e := fleet.List{Scope: u.Scope, Rev: fleet.ListRev(u.Doc.Rev)}
 	for _, s := range u.Doc.Servers {
 		id, known := c.ids[s.Name]
@@ -227,6 +253,10 @@
 			c.lastID++
 			id = c.lastID
 			c.ids[s.Name], c.names[id], c.fresh[id] = id, s.Name, true
+			if c.owed[s.Name] { // it may be shut out still
+				delete(c.owed, s.Name)
+				again = append(again, fleet.Withdraw{Server: id})
+			}
 		}
 		entry := fleet.Entry{Server: id, State: states[s.State], Cell: fleet.CellID(s.Cell), Weight: s.Weight,
 			Zone: fleet.ZoneID(max(0, slices.Index(c.site.Zones, s.Zone))),
@@ -237,6 +267,9 @@
 		e.Entries = append(e.Entries, entry)
 	}
 	c.events = append(c.events, e)
+	if len(again) > 0 {
+		c.events = append(c.events, fleet.Unconfirmed{Orders: again})
+	}
 }
 
 type alarm struct {
--- a/serve/node.go
+++ b/serve/node.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,6 +28,11 @@
 	memoryShare = 0.5                    // of the limit, for what the Go runtime holds: the program's own pages come on top
 	endWithin   = 450 * time.Millisecond // SIGKILL follows SIGTERM no sooner than 0.7 s later
 	countsEvery = 5 * time.Second        // figures in the log
+	idleMost    = 2 * time.Second        // the first sign of life waits so long for news and a list: a relay may be out of reach for long
+	listenAgain = 50 * time.Millisecond  // where the address is held still by the process that was killed just before
+	listenMost  = 3 * time.Second        // and no longer than this: it is another program's
+	readAgain   = 100 * time.Millisecond // after a configuration that can't be read at SIGHUP: it may be written half way
+	readMost    = 10                     // times: old addresses close after 1.5 s
 )
 
 // Node runs a governor on the users' platform until SIGTERM or SIGINT. SIGHUP reads the configuration again.
@@ -51,11 +60,28 @@
 	for _, v := range c.Site.Classes {
 		classes = append(classes, v.Name)
 	}
+	// A governor is put to use once it has answered a sign of life, so it listens when it has news of its proxies and knows servers.
+	ready := make(chan struct{})
+	var opened, listed atomic.Bool
+	whenReady := sync.OnceFunc(func() { close(ready) })
+	listed.Store(len(c.Known.Servers) > 0)
 	front := relay.New(relay.Options{Addr: c.Store, Zones: c.Site.Zones, Classes: classes, Proxies: c.Site.Proxies,
-		Sink: func(n relay.News) { mailbox.Post(n) }, Unsure: func(u relay.Unconfirmed) { mailbox.Post(u) }, Log: log, Seed: c.Seed})
+		Sink: func(n relay.News) {
+			mailbox.Post(n)
+			if opened.Store(true); listed.Load() {
+				whenReady()
+			}
+		}, Unsure: func(u relay.Unconfirmed) { mailbox.Post(u) }, Log: log, Seed: c.Seed})
 	source := &list.Platform{Addr: c.Discovery, Rev: c.Known.Rev, Zones: c.Site.Zones, Kinds: c.Site.Kinds,
 		Notice: func(err error) { log.Warn().Err(err).Msg("list") }}
-	if err := source.Start(ctx, func(u list.Update) { mailbox.Post(u) }); err != nil {
+	if err := source.Start(ctx, func(u list.Update) {
+		mailbox.Post(u)
+		if len(u.Doc.Servers) > 0 {
+			if listed.Store(true); opened.Load() {
+				whenReady()
+			}
+		}
+	}); err != nil {
 		return err
 	}
 	clock := node.NewClock()
@@ -66,28 +92,69 @@
 		node.Run(ctx, node.Parts{Core: core, Mailbox: mailbox, Front: front, Source: source, Tick: c.Site.Tick, Log: log}, clock)
 	}()
 	front.Start(ctx)
-	heard, err := collector.Listen(collector.Options{Addr: c.Listen, Sockets: c.Sockets, Log: log, Sink: mailbox.Report,
-		Words: collector.Words{Zones: c.Site.Zones, Classes: classes, Proxies: c.Site.Proxies, Load: c.Site.LoadFields}})
-	if err != nil {
+	idle := time.AfterFunc(idleMost, whenReady)
+	defer idle.Stop()
+	began := time.Now()
+	var heard *collector.Server
+	var again <-chan time.Time // to listen
+	listen := func() (err error) {
+		heard, err = collector.Listen(collector.Options{Addr: c.Listen, Sockets: c.Sockets, Log: log, Sink: mailbox.Report,
+			Words: collector.Words{Zones: c.Site.Zones, Classes: classes, Proxies: c.Site.Proxies, Load: c.Site.LoadFields}})
+		if again = nil; errors.Is(err, syscall.EADDRINUSE) && time.Since(began) < listenMost+idleMost {
+			again = time.After(listenAgain)
+			return nil
+		}
+		if err == nil {
+			log.Info().Str("listen", heard.Addr()).Bool("news", opened.Load()).Bool("list", listed.Load()).Dur("after", time.Since(began)).Msg("listens")
+		}
 		return err
 	}
-	log.Info().Str("version", Version).Str("listen", heard.Addr()).Str("relay", c.Store).Str("discovery", c.Discovery).
+	log.Info().Str("version", Version).Str("listen", c.Listen).Str("relay", c.Store).Str("discovery", c.Discovery).
 		Int("memory_mb", c.MemoryMB).Int("sockets", c.Sockets).Float64("cores", c.Cores).Int("proxies", c.Site.Proxies).
 		Int("known", len(c.Known.Servers)).Interface("site", c.Site).Msg("governs")
 	counts := time.NewTicker(countsEvery)
 	defer counts.Stop()
+	tries := 0
+	var reread <-chan time.Time // the configuration
 	for {
 		select {
 		case <-counts.C:
-			log.Info().Interface("calls", front.Counts()).Interface("heard", heard.Counts()).Int("goroutines", runtime.NumGoroutine()).Msg("counts")
+			if heard != nil {
+				log.Info().Interface("calls", front.Counts()).Interface("heard", heard.Counts()).Int("goroutines", runtime.NumGoroutine()).Msg("counts")
+			}
+		case <-ready:
+			if ready = nil; heard == nil {
+				if err := listen(); err != nil {
+					return err
+				}
+			}
+		case <-again:
+			if err := listen(); err != nil {
+				return err
+			}
+		case <-reread:
+			reread = nil
+			fresh, err := renew(getenv, c, log, front, source)
+			if c = fresh; err == nil {
+				continue
+			}
+			if tries++; tries < readMost {
+				reread = time.After(readAgain)
+			} else {
+				log.Error().Err(err).Msg("configuration not renewed: what stood stays")
+			}
 		case sig := <-signals:
 			if sig == syscall.SIGHUP {
-				c = renew(getenv, c, log, front, source)
+				now := make(chan time.Time)
+				close(now)
+				tries, reread = 0, now
 				continue
 			}
 			log.Info().Str("signal", sig.String()).Msg("ends")
 			cancel()
-			heard.Close()
+			if heard != nil {
+				heard.Close()
+			}
 			done := make(chan struct{})
 			go func() { front.Wait(); close(done) }()
 			select {
@@ -101,17 +168,25 @@
 	}
 }
 
-// renew reads the configuration again and goes to its addresses. A file that can't be read, or that asks for what needs a
-// restart, changes nothing.
-func renew(getenv func(string) string, c *config.Relay, log zerolog.Logger, front *relay.Front, source *list.Platform) *config.Relay {
+// renew reads the configuration again and goes to its addresses. An error is of a file that can't be read, which may be written half
+// way. One that asks for what needs a restart changes nothing.
+func renew(getenv func(string) string, c *config.Relay, log zerolog.Logger, front *relay.Front, source *list.Platform) (*config.Relay, error) {
 	fresh, err := config.LoadRelay(getenv)
 	if err != nil {
-		log.Error().Err(err).Msg("configuration not renewed: what stood stays")
-		return c
+		return c, err
+	}
+	key := ""
+	switch {
+	case fresh.Name != c.Name:
+		key = "name"
+	case fresh.Listen != c.Listen:
+		key = "listen"
+	case !reflect.DeepEqual(fresh.Site, c.Site):
+		key = "settings"
 	}
-	if fresh.Name != c.Name || fresh.Listen != c.Listen {
-		log.Error().Str("name", fresh.Name).Str("listen", fresh.Listen).Msg("configuration not renewed: name and listen need a restart; what stood stays")
-		return c
+	if key != "" {
+		log.Error().Str("key", key).Msg("configuration not renewed: " + key + " needs a restart; what stood stays")
+		return c, nil
 	}
 	log.Info().Str("relay", fresh.Store).Str("discovery", fresh.Discovery).Msg("configuration renewed")
 	if fresh.Store != c.Store {
@@ -120,5 +195,5 @@
 	if fresh.Discovery != c.Discovery {
 		source.Move(fresh.Discovery)
 	}
-	return fresh
+	return fresh, nil
 }
