--- a/config/relay.go
+++ b/config/relay.go
@@ -15,6 +15,9 @@
 	"cressknot/list"
 )
 
+// namesMost is the longest name of a zone or kind, in bytes: DNS has 253, and a collector's first message is bounded.
+const namesMost = 256
+
 // Relay is what a governor on the users' platform is told at its start: RELAY_CONFIG names a JSON file; RELAY_NAME,
 // RELAY_LISTEN and RELAY_DISCOVERY stand in where the file lacks their keys.
 type Relay struct {
@@ -109,6 +112,9 @@
 	if r.Site, err = wire.ParseSite(o.Settings); err != nil {
 		return nil, err
 	}
+	if err := servable(r.Site); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
 	if len(o.Known) > 0 && string(o.Known) != "null" {
 		p := list.Platform{Zones: r.Site.Zones, Kinds: r.Site.Kinds}
 		doc, err := p.Decode(o.Known)
@@ -119,3 +125,34 @@
 	}
 	return r, nil
 }
+
+// servable tells what of a deployment's shape can't be served: ids have their widths, and nobody would be served in slices.
+func servable(s fleet.Site) error {
+	for _, c := range []struct {
+		key         string
+		n           float64
+		least, most float64
+	}{
+		{"dcs", float64(len(s.Zones)), 1, math.MaxUint8},
+		{"kinds", float64(len(s.Kinds)), 0, math.MaxUint8},
+		{"familyInfo.agents", float64(s.Proxies), 1, math.MaxUint16 + 1},
+		{"familyInfo.shards", float64(s.Slices), 0, 0},
+		{"familyInfo.egressPerS", s.LinesPerS, 1, 1e9},
+		{"familyInfo.mostWaiting", s.BacklogMost, 1, 1e9},
+	} {
+		if !(c.n >= c.least && c.n <= c.most) {
+			return fmt.Errorf("key %s: %g is not from %g to %g", c.key, c.n, c.least, c.most)
+		}
+	}
+	for _, names := range []struct {
+		key string
+		of  []string
+	}{{"dcs", s.Zones}, {"kinds", s.Kinds}} {
+		for i, name := range names.of {
+			if len(name) > namesMost {
+				return fmt.Errorf("key %s[%d]: over %d bytes", names.key, i, namesMost)
+			}
+		}
+	}
+	return nil
+}
--- a/list/platform.go
+++ b/list/platform.go
@@ -27,7 +27,7 @@
 	platformSilent = 3500 * time.Millisecond // an empty line is due every 2 s; what it has to tell counts as told after 6 s
 	platformWhole  = 6 * time.Second         // for one line: what takes longer counts as told before it is read
 	platformLine   = 8 << 20                 // bytes of one object: some 50,000 servers
-	platformNames  = 128                     // bytes of a name or an address
+	platformNames  = 512                     // bytes of a name or an address: DNS has 253, and some put a path before it
 )
 
 // Platform is the platform's discovery: a whole list for each Fetch, and a watch that lasts until its connection ends. Each
--- a/node/core_test.go
+++ b/node/core_test.go
@@ -245,3 +245,35 @@
 		t.Errorf("%d tries, %d news in %d inputs", tries, news, len(in))
 	}
 }
+
+// A full mailbox keeps its bringers waiting and loses nothing; at the end nobody waits any more.
+func TestFullMailboxLetsGo(t *testing.T) {
+	m := NewMailbox()
+	in := make(chan int, 10)
+	go func() {
+		for i := range 2*urgentMost + 1 {
+			m.Post(relay.News{Stream: uint64(i)})
+		}
+		in <- 1
+	}()
+	got := 0
+	for got < urgentMost { // all that go in before it is full
+		<-m.notify
+		got += len(m.Take(nil))
+	}
+	for got < 2*urgentMost+1 {
+		<-m.notify
+		got += len(m.Take(nil))
+	}
+	<-in
+	for range urgentMost {
+		m.Post(relay.News{})
+	}
+	go func() { m.Post(relay.News{}); in <- 2 }()
+	m.Close()
+	select {
+	case <-in:
+	case <-time.After(20 * time.Second):
+		t.Fatal("a bringer waits after the end")
+	}
+}
