Let levels wait for room in the channel; count no message that goes to nobody

Followed at n4, the survivor of five with 2,232 proxies: 18.314 PUT 24552 waiting=78468, one order, a level; 19.223 PUT 22320, lines of unused tables, counted as heads to all. Levels had no check of room at all (logic.go, publish); toAll counted heads for lines that cost nobody. Ruled out: slow channel (2,600 a second stated, the same measured).

Test: TestLevelsNeedRoom, tried without the mend.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -824,6 +824,7 @@
 func (g *Governor) publish() {
 	users := float64(len(g.proxies))
 	fit := room*g.site.BacklogMost - g.waiting() - g.head()*users
+	last := -(room - tenth/2) * g.site.BacklogMost // of fit, for withdrawals and levels
 	spare := quarter*float64(len(g.servers)) - float64(len(g.servers)-len(g.ready))
 	for _, s := range g.servers {
 		// Standing tables send to cold servers as to all others, so some stay out until no proxy goes by one.
@@ -837,8 +838,7 @@
 				on = min(users, on+b.users)
 			}
 		}
-		fits := fit > on || out && fit-on > -(room-tenth/2)*g.site.BacklogMost
-		if fits && (out != s.withdrawn || s.doubted) {
+		if (out != s.withdrawn || s.doubted) && (fit > on || out && fit-on > last) {
 			s.withdrawn, s.doubted, s.told, fit = out, false, g.now, fit-on
 			g.toAll(fleet.Withdraw{Server: s.Server, Out: out}, on)
 		}
@@ -846,8 +846,8 @@
 	for c := range g.classes {
 		l, out := fleet.Level{Table: fleet.EveryTable, Classes: 1 << c, Retry: g.retry}, &g.classes[c].out
 		l.Amount = float32(g.amount(c))
-		if math.Abs(float64(l.Amount/out.Amount-1)) > tenth || l.Retry != out.Retry {
-			*out = l
+		if fit-users > last && (math.Abs(float64(l.Amount/out.Amount-1)) > tenth || l.Retry != out.Retry) {
+			*out, fit = l, fit-users
 			g.toAll(l, users)
 		}
 	}
@@ -906,10 +906,10 @@
 }
 
 func (g *Governor) toAll(order fleet.Order, users float64) { // costs a line at each of so many proxies
-	if g.lines += users; g.wroteAt != g.now {
-		g.lines += g.head() * float64(len(g.proxies))
+	if g.lines += users; users > 0 && g.wroteAt != g.now {
+		g.wroteAt, g.lines = g.now, g.lines+g.head()*float64(len(g.proxies))
 	}
-	g.orders, g.wroteAt = append(g.orders, order), g.now
+	g.orders = append(g.orders, order)
 }
 
 // join puts proxies on their tables, those with most visits first, as many as the channel has room for.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -506,6 +506,36 @@
 	}
 }
 
+// Found on a day of glasgow-tint: levels went out however full the channel was, a head and a line to 2,232 proxies each time. And what goes to
+// nobody counted as a message to all.
+func TestLevelsNeedRoom(t *testing.T) {
+	g := calm([]float64{10, 10}, []float64{0.6, 0.6})
+	g.site.Admission = fleet.AdmitShare
+	levels := func(waiting float64) (n int) {
+		g.orders, g.lines = nil, g.left+waiting
+		g.publish()
+		for _, o := range g.orders {
+			if _, is := o.(fleet.Level); is {
+				n++
+			}
+		}
+		return n
+	}
+	g.count()
+	g.classes[0].level, g.classes[0].demand, g.pieceAt = 0.5, 20, 0
+	if n := levels(0.96 * g.site.BacklogMost); n != 0 {
+		t.Errorf("%d levels into a full channel", n)
+	}
+	if n := levels(0.6 * g.site.BacklogMost); n != 1 {
+		t.Errorf("%d levels where there is room", n)
+	}
+	before := g.lines
+	g.now += fleet.Second
+	if g.toAll(fleet.Share{Table: 1, Server: 1, Weight: 1}, 0); g.lines != before {
+		t.Errorf("a line that nobody has counted %.0f", g.lines-before)
+	}
+}
+
 // A proxy joins just after a withdrawal, which it may not have heard of, and the server comes back in the same step: it must be let in again.
 func TestServerBackAsAProxyJoins(t *testing.T) {
 	y := newYard(9, 8, 4)
