--- a/logic/logic.go
+++ b/logic/logic.go
@@ -824,7 +824,10 @@
 func (g *Governor) publish() {
 	users := float64(len(g.proxies))
 	fit := room*g.site.BacklogMost - g.waiting() - g.head()*users
-	last := -(room - tenth/2) * g.site.BacklogMost // of fit, for withdrawals and levels
+	last := -(room - tenth/2) * g.site.BacklogMost // of fit, for withdrawals
+	// More than leaves till the next go only keeps others waiting, and proxies off their tables come first.
+	kept := g.site.BacklogMost * room * room * min(1, g.astray)
+	kept = max(kept, fit+g.waiting()-room*interval.Seconds()*g.site.LinesPerS)
 	spare := quarter*float64(len(g.servers)) - float64(len(g.servers)-len(g.ready))
 	for _, s := range g.servers {
 		// Standing tables send to cold servers as to all others, so some stay out until no proxy goes by one.
@@ -846,16 +849,13 @@
 	for c := range g.classes {
 		l, out := fleet.Level{Table: fleet.EveryTable, Classes: 1 << c, Retry: g.retry}, &g.classes[c].out
 		l.Amount = float32(g.amount(c))
-		if fit-users > last && (math.Abs(float64(l.Amount/out.Amount-1)) > tenth || l.Retry != out.Retry) {
+		if fit > users && (math.Abs(float64(l.Amount/out.Amount-1)) > tenth || l.Retry != out.Retry) {
 			*out, fit = l, fit-users
 			g.toAll(l, users)
 		}
 	}
 	// Proxies go by ratios, so a factor common to most lines of a table is no change.
 	ordinary, lines := g.pieceAt > 0 && g.now >= g.pieceAt, []line{}
-	// More than leaves till the next go only keeps others waiting, and proxies off their tables come first.
-	kept := g.site.BacklogMost * room * room * min(1, g.astray)
-	kept = max(kept, room*(g.site.BacklogMost-g.site.LinesPerS*interval.Seconds()))
 	for t, b := range g.tables {
 		scale, top := []float64{}, 0.0
 		for _, s := range g.servers {
