--- a/logic/logic.go
+++ b/logic/logic.go
@@ -856,6 +856,7 @@
 	}
 	// Proxies go by ratios, so a factor common to most lines of a table is no change.
 	ordinary, lines := g.pieceAt > 0 && g.now >= g.pieceAt, []line{}
+	dear := g.near && float64(g.site.Proxies*len(g.servers)) > g.site.LinesPerS*g.site.DrainGrace.Seconds()
 	for t, b := range g.tables {
 		scale, top := []float64{}, 0.0
 		for _, s := range g.servers {
@@ -867,7 +868,7 @@
 		unit := cmp.Or(quantile(scale, 0.5), 1)
 		for _, s := range g.servers {
 			w, o := s.want[t]*unit, s.out[t]
-			if (b.users == 0 || g.near) && s.want[t] < tenth*top { // would make joins dear; nobody misses it till then
+			if (b.users == 0 || dear) && s.want[t] < tenth*top { // would make joins dear; few miss it
 				w = 0
 			}
 			change, idle := math.Abs(w-o), b.total > 0 || b.users == 0
