Wait in a test until the new stream stands before the old one ends

The test ended the old stream when the new one's request had come to the stand-in, not when the front had its answer; an end before that is no overlap, and the opening is rightly not whole. The test waits for the count of streams now, and ends the old one by the end of its answer. The check itself is the same.

--- a/front/relay/relay_test.go
+++ b/front/relay/relay_test.go
@@ -284,6 +284,9 @@
 	}
 }
 
+// cleanEnd lets a stream of the stand-in end as a closed address does, not by a reset.
+const cleanEnd = "end"
+
 // standin is a relay on loopback that does as its script says, a call at a time.
 type standin struct {
 	*httptest.Server
@@ -317,6 +320,9 @@
 				if !more {
 					panic(http.ErrAbortHandler)
 				}
+				if text == cleanEnd {
+					return
+				}
 				fmt.Fprint(w, text)
 				w.(http.Flusher).Flush()
 			case <-r.Context().Done():
@@ -489,10 +495,15 @@
 		}
 		f.Move(moved.addr())
 		next(t, moved.streams)
+		for late := time.Now().Add(20 * time.Second); f.Counts().Streams < 2; time.Sleep(time.Millisecond) { // until it stands
+			if time.Now().After(late) {
+				t.Fatal("the new stream does not stand")
+			}
+		}
 		if spoilt {
 			first <- "event: joined\ndata: node=999\n\n"
 		} else {
-			close(first)
+			first <- cleanEnd
 		}
 		if n := next(t, news); n.What != Opened || n.Stream != 2 || n.Whole == spoilt {
 			t.Errorf("spoilt %v: %+v", spoilt, n)
