Show that a zone's return leaves one cold server all requests of the zone

A zone of four is lost for 5 s and returns cold, with its governor. As its front ends join, the governor withdraws four of the five cold servers that their tables hold; the fifth is sent 5.6 times what it can do and falls over (the limit is 4 times).

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -7,6 +7,7 @@
 	"pushed-list": pushedList,
 	"cut":         cutDiscovery,
 	"release":     release,
+	"zone":        zoneLost,
 }
 
 // pushedList: a server drains on a site whose settings say that the list is pushed.
@@ -70,3 +71,55 @@
 	time.Sleep(10 * time.Second)
 	return w.coldVerdict()
 }
+
+// zoneLost: a zone is lost for 5 s, with its servers, its proxies and its governor, and returns cold.
+func zoneLost(w *world, trouble bool) int {
+	s := bengal()
+	s.servers, s.proxies, s.load = 20, 3, 0.5
+	seeds := []string{"8c1f30d27a5be964", "5d0e7c91b3a2f846", "e17b4460c92d8a35", "3a96f1d807c45b2e"}
+	if !w.open(s, s.Zones, seeds) {
+		return notRun
+	}
+	time.Sleep(12 * time.Second)
+	if !trouble {
+		time.Sleep(25 * time.Second)
+		return w.coldVerdict()
+	}
+	g := w.govs[1]
+	known, _, _ := w.disco.object(0, true)
+	uids := w.disco.readyIn(g.zone)
+	w.logf("zone %s is lost", g.zone)
+	for _, uid := range uids {
+		w.server(uid).die()
+	}
+	g.kill()
+	for _, p := range g.proxies {
+		p.die()
+	}
+	time.Sleep(5 * time.Second) // discovery notices silent machines after 5 to 13 s: the list does not change
+	w.logf("zone %s is back", g.zone)
+	back := time.Now()
+	for _, uid := range uids {
+		w.server(uid).start(back)
+	}
+	for _, p := range g.proxies {
+		p.restart()
+	}
+	g.knownList, g.seed = known, "b0c35e9d7714a862"
+	if err := g.start(); err != nil {
+		w.fail(err)
+		return notRun
+	}
+	go g.collect()
+	time.Sleep(time.Until(back.Add(400 * time.Millisecond)))
+	for _, uid := range uids {
+		w.disco.started(uid, back)
+	}
+	time.Sleep(time.Until(back.Add(700 * time.Millisecond))) // front ends dial again within 0.69 to 2.5 s
+	for _, p := range g.proxies {
+		g.relay.join(p)
+	}
+	w.logf("%s: its proxies have joined again", g.name)
+	time.Sleep(19 * time.Second)
+	return w.coldVerdict()
+}
--- a/review/standin/discovery.go
+++ b/review/standin/discovery.go
@@ -79,6 +79,30 @@
 	d.w.logf("discovery: rev %d lists %s as %s", d.rev, uid, state)
 }
 
+// started lists a server as in service since a start.
+func (d *discovery) started(uid string, at time.Time) {
+	d.mu.Lock()
+	for _, t := range d.targets {
+		if t.UID == uid {
+			t.BootMs = float64(at.UnixMilli())
+		}
+	}
+	d.mu.Unlock()
+	d.set(uid, "in_service")
+}
+
+// readyIn returns the servers of a zone that are listed as in service.
+func (d *discovery) readyIn(zone string) (uids []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, t := range d.targets {
+		if t.Zone == zone && t.State == "in_service" {
+			uids = append(uids, t.UID)
+		}
+	}
+	return uids
+}
+
 // object returns the list as JSON: the whole list, or what has changed after a revision ("" if nothing has).
 func (d *discovery) object(after int, whole bool) (text string, rev int, changed chan struct{}) {
 	d.mu.Lock()
@@ -134,6 +158,7 @@
 		text, rev, changed := a.d.object(after, false)
 		if text != "" {
 			a.d.w.noteWritten(a.g)
+			a.noteStarts(after)
 			a.write(w, text+"\n")
 			a.d.w.logf("%s: discovery has written: %s", a.g.name, shorten(text))
 			after = rev
@@ -149,6 +174,25 @@
 	}
 }
 
+// noteStarts records the starts that are written to the governor: those changed after a revision.
+func (a *access) noteStarts(after int) {
+	a.d.mu.Lock()
+	var uids []string
+	for _, t := range a.d.targets {
+		if t.rev > after && t.BootMs > 0 {
+			uids = append(uids, t.UID)
+		}
+	}
+	a.d.mu.Unlock()
+	a.d.w.mu.Lock()
+	defer a.d.w.mu.Unlock()
+	for _, uid := range uids {
+		if _, known := a.g.startTold[uid]; !known {
+			a.g.startTold[uid] = time.Now()
+		}
+	}
+}
+
 // write writes to the governor. While the network is cut, the bytes wait in it.
 func (a *access) write(w http.ResponseWriter, text string) {
 	a.mu.Lock()
--- a/review/standin/search.go
+++ b/review/standin/search.go
@@ -224,6 +224,9 @@
 	s.mu.Unlock()
 	w.mu.Lock()
 	delete(drains, uid)
+	for _, g := range w.govs {
+		delete(g.startTold, uid)
+	}
 	w.mu.Unlock()
 	w.disco.mu.Lock()
 	for _, t := range w.disco.targets {
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -171,7 +171,7 @@
 
 // addServer lists the server of a number, in the place of the fleet that tells its zone, kind and speed.
 func (s *site) addServer(w *world, number, place int, bootMs float64) *target {
-	kind := place % len(s.Kinds)
+	kind := place / len(s.Zones) % len(s.Kinds)
 	if len(s.Kinds) == 2 {
 		kind = 0
 		if place%3 == 0 {
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -69,6 +69,7 @@
 	relayListener *gatedListener
 	spoilt        func(field string) string // draws a spoilt number of a report, "" for none; nil: none
 	knownList     string                    // the list in the configuration; empty: the present one
+	startTold     map[string]time.Time      // by server: when discovery wrote its latest start to the governor
 	proxies       []*proxy
 	command       *exec.Cmd
 	exited        chan error
@@ -91,7 +92,9 @@
 	waiting    []*message
 	joinedAt   time.Time
 	bareSince  map[string]time.Time // by class: since when it has no line to pick
-	left       bool
+	left       bool                 // it has no stream
+	dead       bool
+	lastSent   time.Time          // when the governor sent the last message that has arrived
 	sentAt     []time.Time        // messages to it since it joined, in the span of the limit
 	met        map[string][2]int  // tries and failures by server since the last report
 	asked      map[string]int     // requests by class since the last report
@@ -189,6 +192,7 @@
 // update applies the messages that have arrived. The caller holds the lock.
 func (p *proxy) update(now time.Time) {
 	for len(p.waiting) > 0 && !p.waiting[0].arrives.After(now) {
+		p.lastSent = p.waiting[0].sent
 		for _, apply := range p.waiting[0].apply {
 			apply(p)
 		}
@@ -206,6 +210,10 @@
 func (p *proxy) request(c class) {
 	now := time.Now()
 	p.mu.Lock()
+	if p.dead {
+		p.mu.Unlock()
+		return
+	}
 	p.update(now)
 	p.asked[c.Name]++
 	if !p.admits(c.Name, now) {
@@ -223,9 +231,10 @@
 		return
 	}
 	p.tries[uid]++
+	lastSent := p.lastSent
 	p.mu.Unlock()
 	p.w.arrived(p, uid, now)
-	good, took := p.w.server(uid).receive(c.workMs / 1000)
+	good, took := p.w.server(uid).receive(c.workMs/1000, p.g.knew(uid, lastSent, now))
 	time.AfterFunc(took, func() { p.ended(c.Name, uid, good, took) })
 }
 
@@ -474,7 +483,7 @@
 
 // addGovernor prepares a governor, with its proxies, without starting it.
 func (w *world) addGovernor(zone, seed string, proxies int) (*governor, error) {
-	g := &governor{w: w, index: len(w.govs), zone: zone, seed: seed, exited: make(chan error, 1)}
+	g := &governor{w: w, index: len(w.govs), zone: zone, seed: seed, exited: make(chan error, 1), startTold: map[string]time.Time{}}
 	g.name = fmt.Sprintf("n%d", g.index)
 	g.relay = newRelay(w, g)
 	var err error
@@ -522,6 +531,51 @@
 	g.proxies = append(g.proxies, p)
 }
 
+// knew reports whether a try counts as sent with knowledge of the start of a server: the proxy's last message was sent
+// after discovery had told its governor, or the governor has known for the grace.
+func (g *governor) knew(uid string, lastSent, now time.Time) bool {
+	g.w.mu.Lock()
+	defer g.w.mu.Unlock()
+	told, known := g.startTold[uid]
+	return known && (lastSent.After(told) || now.Sub(told) > g.w.site.drainGrace)
+}
+
+// die ends a proxy.
+func (p *proxy) die() {
+	p.g.relay.leave(p)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dead = true
+}
+
+// restart starts a proxy again, with a standing table of the servers of its zone as they are listed now.
+func (p *proxy) restart() {
+	listed := p.w.disco.readyIn(p.zone)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dead = false
+	p.standing = map[string]float64{}
+	for _, uid := range listed[:min(len(listed), p.w.site.standing)] {
+		p.standing[uid] = 1
+	}
+	p.tables = map[string]map[string]float64{}
+	p.classTable = map[string]string{}
+	p.withdrawn = map[string]bool{}
+	p.failing = map[string]int{}
+	p.shunned = map[string]time.Time{}
+}
+
+// kill ends a governor at once, and with it the streams of its proxies and what waits in its channel.
+func (g *governor) kill() {
+	g.w.logf("%s is killed", g.name)
+	_ = g.command.Process.Kill()
+	<-g.exited
+	for _, p := range g.proxies {
+		g.relay.leave(p)
+	}
+	g.relay.forget()
+}
+
 // writeConfig writes the configuration of the governor.
 func (g *governor) writeConfig() error {
 	known := g.knownList
