--- a/review/standin/relay.go
+++ b/review/standin/relay.go
@@ -35,6 +35,8 @@
 
 	// fault draws what happens to a call: "" for nothing, or one of the call faults.
 	fault func() string
+	// silent: nothing passes between the governor and the relay, on open connections.
+	silent bool
 }
 
 // Faults of a call, after the names of the protocol page: carried out or not, and what the governor sees.
@@ -93,6 +95,9 @@
 		case <-request.Context().Done():
 			return
 		case <-beat.C:
+			if r.isSilent() {
+				continue
+			}
 			_, _ = fmt.Fprint(w, ":\n")
 		case event := <-events:
 			if event == resetStream {
@@ -104,6 +109,18 @@
 	}
 }
 
+func (r *relay) isSilent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.silent
+}
+
+func (r *relay) setSilent(silent bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent = silent
+}
+
 // resetStream, sent to a stream, resets its connection.
 const resetStream = "reset"
 
@@ -184,7 +201,9 @@
 		return
 	}
 	fault := ""
-	if r.fault != nil {
+	if r.silent {
+		fault = callForgotten
+	} else if r.fault != nil {
 		fault = r.fault()
 	}
 	accepted := 0
--- a/review/standin/search.go
+++ b/review/standin/search.go
@@ -16,7 +16,7 @@
 //
 // It reads SEARCH_SEED, SEARCH_SITE (north, salt; otherwise bengal), SEARCH_SECONDS, SEARCH_SHARE (of the calls that
 // fail), SEARCH_LOAD (of the capacity) and SEARCH_FAULTS, names joined by "+": calls, burst, burststream, streams, proxies, servers, watch, stall, kill,
-// hup.
+// hup, relaycut.
 func search(w *world, _ bool) int {
 	seed, _ := strconv.Atoi(os.Getenv("SEARCH_SEED"))
 	rnd := rand.New(rand.NewSource(int64(seed)))
@@ -147,6 +147,17 @@
 		time.Sleep(time.Duration(1500+r.Intn(500)) * time.Millisecond)
 		_ = g.command.Process.Signal(syscall.SIGCONT)
 	})
+	spawn("relaycut", 14, 18, func(*rand.Rand) {
+		w.logf("n0: network to the relay is cut")
+		g.relay.setSilent(true)
+		if err := g.relayListener.block(); err != nil {
+			w.logf("n0: %v", err)
+		}
+		time.Sleep(6 * time.Second)
+		g.relayListener.unblock()
+		g.relay.setSilent(false)
+		w.logf("n0: network to the relay is whole again")
+	})
 	dead := false
 	spawn("kill", 6, 14, func(r *rand.Rand) {
 		known, _, _ := w.disco.object(0, true)
