Log which servers a controller withdraws or readmits, and why

Change: the order carries its cause (not written to event logs or wires), and the node logs one line a step and cause with the servers' names.

--- a/internal/balancer/endpoints.go
+++ b/internal/balancer/endpoints.go
@@ -198,7 +198,8 @@
 		if !b.mayRemove(server) {
 			return false
 		}
-		b.emit(fleet.WithdrawServer{Server: server.Server}) // costs no entry, as no table has the server
+		// The order costs no entry, as no table has the server.
+		b.emit(fleet.WithdrawServer{Server: server.Server, Cause: fleet.CauseForgotten})
 		delete(b.endpoints.byID, server.Server)
 		return true
 	})
--- a/internal/balancer/publish.go
+++ b/internal/balancer/publish.go
@@ -79,8 +79,13 @@
 	minCapacity := -maxWithdrawalOverdraft * b.site.MaxBacklog
 	for _, server := range b.endpoints.all {
 		withdraw := server.State != fleet.ServerReady
+		cause := fleet.CauseReady
+		if withdraw {
+			cause = fleet.CauseNotReady
+		}
 		if !withdraw && b.proxies.outOfSync > 0 && b.warmingUp(server) && spare > 1 {
 			withdraw = true
+			cause = fleet.CauseSlowStart
 			spare--
 		}
 		if withdraw == server.withdrawn && !server.withdrawalUnconfirmed {
@@ -95,7 +100,7 @@
 		server.withdrawn = withdraw
 		server.withdrawalUnconfirmed = false
 		server.withdrawalChangedAt = b.now
-		b.broadcast(fleet.WithdrawServer{Server: server.Server, Withdrawn: withdraw}, entries)
+		b.broadcast(fleet.WithdrawServer{Server: server.Server, Withdrawn: withdraw, Cause: cause}, entries)
 	}
 	return capacity
 }
--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -42,8 +42,9 @@
 	}
 	// WithdrawServer removes a server from all tables of joined proxies regardless of its weights, or reverts this.
 	WithdrawServer struct {
-		Server    ServerID `json:"Server"`
-		Withdrawn bool     `json:"Out"`
+		Server    ServerID        `json:"Server"`
+		Withdrawn bool            `json:"Out"`
+		Cause     WithdrawalCause `json:"-"` // for the log only; proxies do not receive it
 	}
 	// AssignTable assigns a table to a proxy for some classes.
 	AssignTable struct {
--- a/internal/platform/controller.go
+++ b/internal/platform/controller.go
@@ -15,11 +15,19 @@
 	Operations           []relay.Operation // for the relay, in one call of Enqueue
 	WatchRequests        []bool            // each starts (true) or stops (false) the watch of the endpoint list
 	FetchRequests        int               // number of requests for the complete endpoint list
+	Withdrawals          []Withdrawal
 	LogMessages          []string
 	UnknownServerReports int        // load reports dropped because their server is not in the endpoint list
 	NextTimer            fleet.Time // due time of the next timer; 0: no timer is set
 }
 
+// Withdrawal is the withdrawal or readmission of a server, for the log.
+type Withdrawal struct {
+	Server    string
+	Withdrawn bool
+	Cause     fleet.WithdrawalCause
+}
+
 // Controller translates between the platform and the balancer. It is not safe for concurrent use.
 type Controller struct {
 	site     fleet.Site
@@ -99,6 +107,7 @@
 		operation.Server = c.servers.names[o.Server]
 	case fleet.WithdrawServer:
 		operation.Server = c.servers.names[o.Server]
+		effects.Withdrawals = append(effects.Withdrawals, Withdrawal{operation.Server, o.Withdrawn, o.Cause})
 	case fleet.ClearTable, fleet.AssignTable, fleet.SetAdmission, fleet.Barrier:
 	default:
 		effects.LogMessages = append(effects.LogMessages, fmt.Sprintf("order %T is not supported on this platform", order))
--- a/internal/platform/controller_test.go
+++ b/internal/platform/controller_test.go
@@ -162,6 +162,17 @@
 	}
 }
 
+// Operators must see in the log which server was withdrawn and why: a withdrawal moves its requests to other servers.
+func TestWithdrawalsNameServerAndCause(t *testing.T) {
+	h := newHarness("s-1", "s-2")
+	h.run(10*fleet.Second, messageBatch(snapshot(1, false, 1, 2)...))
+	effects := h.controller.Step(h.now, messageBatch(endpointDelta(2, testEndpoint("s-2", "draining"))))
+	want := Withdrawal{Server: "s-2", Withdrawn: true, Cause: fleet.CauseNotReady}
+	if len(effects.Withdrawals) != 1 || effects.Withdrawals[0] != want {
+		t.Errorf("withdrawals %+v, want %+v", effects.Withdrawals, want)
+	}
+}
+
 func TestFirstStepWatchesEndpoints(t *testing.T) {
 	h := newHarness("s-1")
 	h.run(0, Batch{})
--- a/internal/platform/logging.go
+++ b/internal/platform/logging.go
@@ -92,6 +92,7 @@
 // logStep logs the balancer's messages of a step and the number of dropped reports, and its estimates every
 // estimateLogInterval.
 func (l *loop) logStep(now fleet.Time, effects Effects) {
+	l.logWithdrawals(effects.Withdrawals)
 	for _, text := range effects.LogMessages {
 		l.Log.Info().Msg(text)
 	}
@@ -104,3 +105,24 @@
 			Msg("load reports dropped: server not in the endpoint list")
 	}
 }
+
+// logWithdrawals logs the withdrawals and readmissions of a step, one line for each cause.
+func (l *loop) logWithdrawals(withdrawals []Withdrawal) {
+	serversByCause := map[fleet.WithdrawalCause][]string{}
+	for _, withdrawal := range withdrawals {
+		serversByCause[withdrawal.Cause] = append(serversByCause[withdrawal.Cause], withdrawal.Server)
+	}
+	for _, withdrawal := range withdrawals {
+		servers := serversByCause[withdrawal.Cause]
+		if servers == nil {
+			continue // logged with the first withdrawal of the cause
+		}
+		delete(serversByCause, withdrawal.Cause)
+		message := "servers readmitted"
+		if withdrawal.Withdrawn {
+			message = "servers withdrawn"
+		}
+		l.Log.Info().Stringer("cause", withdrawal.Cause).Strs("servers", servers).
+			Int("joined", l.Controller.JoinedProxies()).Msg(message)
+	}
+}
