Do not withdraw part of a zone's servers in slow start; assign tables at once instead

Cause: while any proxy uses tables that are not the controller's, publishWithdrawals withdrew servers in slow start, by ID, until a quarter of the whole fleet was out. The tables of a zone's new proxies hold servers of that zone only, and with four zones a quarter of the fleet is all of it but one server.

Change: servers in slow start are withdrawn for a zone as a whole, and only while fewer than a quarter of the zone and of the fleet are out. Where that is not possible, none is withdrawn, the requests stay spread, and the proxies whose tables may ignore the slow start are assigned their tables at once, during the initial observation too. Why this works: all servers of such a table get the same part of the requests until a table with limited weights replaces it.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -38,6 +38,7 @@
 	classes   []requestClass // by ClassID
 	tables    []weightTable  // by TableID
 	endpoints endpointState
+	zones     []zoneState // by ZoneID
 	proxies   proxyRegistry
 	estimates fleetEstimates
 	admission admissionState
@@ -55,7 +56,7 @@
 	estimatedAt fleet.Time // last estimates
 	timerDueAt  fleet.Time // when the next timer fires
 	intervalDue bool       // a balance interval ends in this step
-	observing   bool       // the initial observation has not ended: no table is assigned yet
+	observing   bool       // the initial observation has not ended: tables are assigned only where waiting does harm
 }
 
 // New returns a balancer for a site. The seed determines the jitter of endpoint list requests after failed ones.
@@ -164,6 +165,7 @@
 	b.updateReadyServers()
 	b.resetTables()
 	b.updateProxies()
+	b.updateZones()
 	b.updateRecentlyAdded()
 	b.updateReportCycle()
 	b.updateDemand()
--- a/internal/balancer/proxies.go
+++ b/internal/balancer/proxies.go
@@ -42,6 +42,7 @@
 	id        fleet.ProxyID
 	partition int // the proxy uses the tables of this partition
 	joinedAt  fleet.Time
+	fresh     bool // it joined with standing tables: no controller has assigned it any
 	// expectedRate is the number of requests per second announced when the proxy joined; reportedExpectedRate is the
 	// same after the first demand report and 0 before.
 	expectedRate         float64
@@ -61,6 +62,7 @@
 	if known != nil && !joined.Fresh {
 		// The proxy may have left without an event, so it is unknown whether it still uses the assigned tables.
 		known.assignmentUnconfirmed = true
+		known.fresh = false
 		known.withdrawalsRepeated = false
 		known.joinedAt = b.now
 		return
@@ -71,6 +73,7 @@
 		id:             joined.Proxy,
 		partition:      b.layout.partitionFor(joined.Zone, int(joined.Proxy)),
 		joinedAt:       b.now,
+		fresh:          joined.Fresh,
 		expectedRate:   max(minExpectedRate, joined.RequestRate),
 		demandSamples:  make([][]reportSample, classCount),
 		assignedTables: slices.Repeat([]int{noTable}, classCount),
@@ -144,12 +147,13 @@
 // assignProxies assigns proxies that are out of sync to their tables, those with the highest expected rate first, as
 // far as the update channel has capacity. It returns the number of assigned proxies.
 func (b *Balancer) assignProxies() int {
-	if b.schedule.observing {
+	waiting := b.proxiesToAssign()
+	if len(waiting) == 0 {
 		return 0
 	}
 	b.updateAssignmentEntries()
 	assigned := 0
-	for _, proxy := range b.proxiesToAssign() {
+	for _, proxy := range waiting {
 		orders, entries := b.assignmentOrders(proxy)
 		backlog := b.channel.backlog(&b.site)
 		if backlog > 0 && backlog+entries > b.maxAssignmentBacklog(proxy) {
@@ -183,10 +187,13 @@
 	}
 }
 
-// proxiesToAssign returns the proxies that are out of sync, those with the highest expected rate first.
+// proxiesToAssign returns the proxies that are out of sync, those with the highest expected rate first. During the
+// initial observation these are only the proxies that may overload servers in slow start with the tables that they have.
 func (b *Balancer) proxiesToAssign() []*proxyState {
-	inSync := func(proxy *proxyState) bool { return !proxy.outOfSync }
-	waiting := slices.DeleteFunc(slices.Clone(b.proxies.all), inSync)
+	mayWait := func(proxy *proxyState) bool {
+		return !proxy.outOfSync || b.schedule.observing && !b.mayOverloadWarming(proxy)
+	}
+	waiting := slices.DeleteFunc(slices.Clone(b.proxies.all), mayWait)
 	slices.SortStableFunc(waiting, func(x, y *proxyState) int { return cmp.Compare(y.expectedRate, x.expectedRate) })
 	return waiting
 }
--- a/internal/balancer/publish.go
+++ b/internal/balancer/publish.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// maxWithdrawalOverdraft is the fraction of the maximum backlog that withdrawals may use beyond
-	// usableBacklogFraction.
-	maxWithdrawalOverdraft = 0.45
 	// maxWeightOverdraft is the fraction of the maximum backlog that urgent weights may use beyond
 	// usableBacklogFraction.
 	maxWeightOverdraft = 0.35
@@ -21,9 +18,6 @@
 	maxBatchFraction = 0.5
 	// deferredChangesDelay is the time until changes that exceeded the capacity are sent.
 	deferredChangesDelay = balanceInterval / 2
-	// maxUnavailableFraction is the largest fraction of the servers that may be unavailable, whether not ready or
-	// withdrawn for slow start.
-	maxUnavailableFraction = 0.25
 
 	// minRelativeChange is the relative change of a weight above which it is sent.
 	minRelativeChange = 0.03
@@ -69,54 +63,6 @@
 	return max(assignments, emptyCapacity-maxBatch)
 }
 
-// publishWithdrawals withdraws servers that are not ready and reverts the withdrawals of servers that are ready again.
-// It returns the remaining capacity. Inherited tables send as much to servers in slow start as to others, so some of
-// these servers are withdrawn, too, while proxies use such tables.
-func (b *Balancer) publishWithdrawals(capacity float64) float64 {
-	serverCount := float64(len(b.endpoints.all))
-	unready := float64(len(b.endpoints.all) - len(b.endpoints.ready))
-	spare := maxUnavailableFraction*serverCount - unready
-	minCapacity := -maxWithdrawalOverdraft * b.site.MaxBacklog
-	for _, server := range b.endpoints.all {
-		withdraw := server.State != fleet.ServerReady
-		cause := fleet.CauseReady
-		if withdraw {
-			cause = fleet.CauseNotReady
-		}
-		if !withdraw && b.proxies.outOfSync > 0 && b.warmingUp(server) && spare > 1 {
-			withdraw = true
-			cause = fleet.CauseSlowStart
-			spare--
-		}
-		if withdraw == server.withdrawn && !server.withdrawalUnconfirmed {
-			continue
-		}
-		entries := b.proxiesThatUse(server)
-		hasCapacity := capacity > entries || withdraw && capacity-entries > minCapacity
-		if !hasCapacity {
-			continue
-		}
-		capacity -= entries
-		server.withdrawn = withdraw
-		server.withdrawalUnconfirmed = false
-		server.withdrawalChangedAt = b.now
-		b.broadcast(fleet.WithdrawServer{Server: server.Server, Withdrawn: withdraw, Cause: cause}, entries)
-	}
-	return capacity
-}
-
-// proxiesThatUse returns the number of proxies whose tables have, or may have, an entry for a server.
-func (b *Balancer) proxiesThatUse(server *serverState) float64 {
-	proxyCount := float64(len(b.proxies.all))
-	count := b.proxies.outOfSync
-	for t := range b.tables {
-		if server.orderedWeight[t] > 0 || server.weightUnconfirmed[t] {
-			count = min(proxyCount, count+b.tables[t].proxyCount)
-		}
-	}
-	return count
-}
-
 // publishWeights emits the wanted weights that differ from the ordered ones. Urgent changes may exceed the capacity.
 // Ordinary ones are sent once per balance interval, the largest first, and deferred if they exceed the capacity.
 func (b *Balancer) publishWeights(capacity, reserved float64) {
