Keep returning servers in slow start withdrawn while proxies have other tables

Cause: a server that is listed as ready again was readmitted at once. The proxies of its zone still had standing tables whose other servers were withdrawn as gone, so the first to return got all their requests.

Change: a withdrawn server in slow start stays so until no proxy has tables that may ignore the slow start. Where most servers of a zone are not ready, the few in slow start that proxies can still pick are withdrawn as well, if the balancer's own tables do without them and the update channel has room for all of them. Proxies with such standing tables are assigned theirs at once. Tables of a zone that has lost servers may be the zone's own or hold servers of any zone; both are allowed for.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -38,7 +38,7 @@
 	classes   []requestClass // by ClassID
 	tables    []weightTable  // by TableID
 	endpoints endpointState
-	zones     []zoneState // by ZoneID
+	zones     zonesState
 	proxies   proxyRegistry
 	estimates fleetEstimates
 	admission admissionState
@@ -165,7 +165,6 @@
 	b.updateReadyServers()
 	b.resetTables()
 	b.updateProxies()
-	b.updateZones()
 	b.updateRecentlyAdded()
 	b.updateReportCycle()
 	b.updateDemand()
@@ -192,6 +191,7 @@
 	if b.site.SliceCount > 0 {
 		return // the tables of such sites belong to slices, which this package does not manage
 	}
+	b.updateZones()
 	entriesBefore := b.channel.entriesSent
 	if b.now >= b.channel.broadcastAt+b.broadcastInterval() {
 		b.publish()
--- a/internal/balancer/proxies.go
+++ b/internal/balancer/proxies.go
@@ -55,6 +55,11 @@
 	withdrawalsRepeated   bool // the withdrawals shortly before it joined were marked to be sent again
 }
 
+// hasUnknownTables reports whether the proxy may use tables that this balancer has not assigned.
+func (p *proxyState) hasUnknownTables() bool {
+	return p.assignmentUnconfirmed || slices.Contains(p.assignedTables, noTable)
+}
+
 // addProxy registers a proxy whose update stream has opened.
 func (b *Balancer) addProxy(joined fleet.ProxyJoined) {
 	b.schedule.timerDueAt = b.now
