Spill requests of a zone over to others when few of its servers are left

Cause: in a table for a part of the fleet other zones' servers start at a tenth of the weight in all, whatever is left of the own ones, and entries below a tenth of the largest are left out of unused tables.

Change: where the own servers, by number, slow start and health, would be loaded more than 1.1 times the mean of the fleet, the weights of other zones are raised so that the own ones keep just that. They go to the parts with the same number, or to all where these are too few. Weights that more than double are urgent and kept in tables with large entries only.

--- a/internal/balancer/desired.go
+++ b/internal/balancer/desired.go
@@ -28,6 +28,7 @@
 		if b.tables[t].wantedWarmWeight == 0 {
 			b.setWantedWeights(t, true)
 		}
+		b.spillOver(t)
 	}
 	b.limitWarmingServers()
 }
--- a/internal/balancer/digest_test.go
+++ b/internal/balancer/digest_test.go
@@ -169,7 +169,7 @@
 			site.ListWeight = fleet.ListWeightLive
 			site.ProxyCount = 40
 			site.MinServerConnections = 10
-		}, "2ece5de11ea45956e68d0f82", "7eeb23fb303bd89d46ad083b"},
+		}, "b9310b569b36101959efaf22", "3450823e1820e7e09c6beabd"},
 		{6, func(site *fleet.Site) {
 			site.SliceCount = 8
 			site.PeersAllowed = true
--- a/internal/balancer/publish.go
+++ b/internal/balancer/publish.go
@@ -144,7 +144,8 @@
 	unconfirmed := server.weightUnconfirmed[index]
 	ordered := server.orderedWeight[index]
 	weight := server.wantedWeight[index] * scale.unit
-	if scale.sparse && server.wantedWeight[index] < minSparseWeight*scale.largest {
+	spills := b.receivesSpill(server, table)
+	if scale.sparse && !spills && server.wantedWeight[index] < minSparseWeight*scale.largest {
 		weight = 0
 	}
 	size := math.Abs(weight - ordered)
@@ -155,7 +156,8 @@
 	}
 
 	exceedsWanted := ordered > maxWarmingWeightRatio*weight || unconfirmed
-	isNeededNow := table.orderedWeight == 0 || exceedsWanted && b.warmingUp(server)
+	relievesOthers := spills && weight > minSpillFactor*ordered
+	isNeededNow := table.orderedWeight == 0 || exceedsWanted && b.warmingUp(server) || relievesOthers
 	urgent := isNeededNow && !server.withdrawn
 	if !urgent && !includeOrdinary {
 		return weightChange{}, false
--- a/internal/balancer/tables.go
+++ b/internal/balancer/tables.go
@@ -66,6 +66,21 @@
 // zoneOf returns the zone that a partition belongs to.
 func (l *tableLayout) zoneOf(partition int) int { return partition / l.partitionsPerZone }
 
+// areSiblings reports whether two partitions have the same number in different zones.
+func (l *tableLayout) areSiblings(x, y int) bool {
+	return x != y && x%l.partitionsPerZone == y%l.partitionsPerZone
+}
+
+// spillTarget is the set of partitions that a table spills over to. Siblings are preferred: each server then gets the
+// requests of few other partitions, and the table stays small.
+type spillTarget uint8
+
+const (
+	spillNone       spillTarget = iota
+	spillToSiblings             // the partitions with the same number in other zones
+	spillToOthers               // all partitions but the table's own
+)
+
 // weightTable is a table of server weights that proxies share. The weights are in serverState.
 type weightTable struct {
 	group     int
@@ -84,6 +99,8 @@
 	// nominalWeight is the sum of the balanced weights of the servers that the table may hold, without health and slow
 	// start applied.
 	nominalWeight float64
+	// spillsOver tells which other partitions get more than the table prefers, as it has too few servers of its own.
+	spillsOver spillTarget
 	// assignmentEntries is the cost, in entries, of assigning a proxy to the table.
 	assignmentEntries float64
 }
