Do not assume that a stalled update channel delivers

Cause: between acknowledgements a quarter of the channel's pace counts as delivered, even while nothing can be.

Change: when acknowledgements are overdue by the longest delay and a timer's interval, nothing more counts as delivered, for up to 8 s; then they are taken to be lost.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -201,6 +201,6 @@
 		reached = len(b.proxies.all)
 	}
 	if b.channel.entriesSent > entriesBefore {
-		b.emit(b.channel.addBarrier(entriesBefore, reached))
+		b.emit(b.channel.addBarrier(b.now, entriesBefore, reached))
 	}
 }
--- a/internal/balancer/channel.go
+++ b/internal/balancer/channel.go
@@ -21,6 +21,8 @@
 	reservedMessages = 5
 	// unlimitedMessages is the message limit on sites that configure none.
 	unlimitedMessages = 1e6
+	// maxAcknowledgementSilence is how long acknowledgements may be missing before they are taken to be lost.
+	maxAcknowledgementSilence = 4 * balanceInterval
 	// minBroadcastInterval is the shortest time between two messages to all proxies.
 	minBroadcastInterval = 2 * timerInterval
 )
@@ -32,7 +34,9 @@
 	entriesDelivered    float64    // of those sent, acknowledged or assumed to be delivered after the time passed
 	entriesAcknowledged float64    // of those delivered, acknowledged
 	deliveredAt         fleet.Time // when entriesDelivered was last updated
-	broadcastAt         fleet.Time // last message to all proxies
+	// silentSince is the time since which acknowledgements are awaited and none has come; 0: none are awaited.
+	silentSince fleet.Time
+	broadcastAt fleet.Time // last message to all proxies
 	// nextChangesAt is when ordinary changes of weights may be sent; 0: none are pending.
 	nextChangesAt   fleet.Time
 	lastBarrier     fleet.BarrierID
@@ -52,12 +56,23 @@
 	return duration.Seconds() * site.EntriesPerSecond * assumedChannelFraction
 }
 
-// advance adds the entries that the channel is assumed to have delivered since the last call.
+// advance adds the entries that the channel is assumed to have delivered since the last call: none while it seems to be
+// stalled.
 func (c *updateChannel) advance(now fleet.Time, site *fleet.Site) {
-	c.entriesDelivered = min(c.entriesSent, c.entriesDelivered+assumedEntries(now-c.deliveredAt, site))
+	if !c.isStalled(now, site) {
+		c.entriesDelivered = min(c.entriesSent, c.entriesDelivered+assumedEntries(now-c.deliveredAt, site))
+	}
 	c.deliveredAt = now
 }
 
+// isStalled reports whether acknowledgements are overdue, so that the channel may deliver nothing, as while the
+// connection to the relay is cut. After maxAcknowledgementSilence they are taken to be lost.
+func (c *updateChannel) isStalled(now fleet.Time, site *fleet.Site) bool {
+	silence := now - c.silentSince
+	overdue := silence > site.MaxUpdateDelay+timerInterval
+	return c.silentSince > 0 && overdue && silence <= maxAcknowledgementSilence
+}
+
 // backlog returns the number of entries queued in the channel: neither delivered nor in transit.
 func (c *updateChannel) backlog(site *fleet.Site) float64 {
 	return max(0, c.entriesSent-c.entriesDelivered-assumedEntries(site.MeanUpdateDelay, site))
@@ -65,24 +80,31 @@
 
 // acknowledge counts a proxy that has reached a barrier. This proves that all entries before the barrier are delivered,
 // which corrects the assumption where the channel is slower.
-func (c *updateChannel) acknowledge(id fleet.BarrierID) {
+func (c *updateChannel) acknowledge(now fleet.Time, id fleet.BarrierID) {
 	barrier := c.pendingBarriers[id]
 	if barrier == nil {
 		return
 	}
+	c.silentSince = now
 	delivered := barrier.entriesBefore + barrier.entries*min(1, barrier.acknowledgements/barrier.proxyCount)
 	if delivered > c.entriesAcknowledged {
 		c.entriesAcknowledged = delivered
 		c.entriesDelivered = delivered
 	}
 	barrier.acknowledgements++
+	if id == c.lastBarrier && barrier.acknowledgements >= barrier.proxyCount {
+		c.silentSince = 0
+	}
 	maps.DeleteFunc(c.pendingBarriers, func(_ fleet.BarrierID, pending *pendingBarrier) bool {
 		return pending.entriesBefore+pending.entries <= c.entriesAcknowledged
 	})
 }
 
 // addBarrier returns a barrier for proxyCount proxies that covers the entries sent since entriesSent was entriesBefore.
-func (c *updateChannel) addBarrier(entriesBefore float64, proxyCount int) fleet.Barrier {
+func (c *updateChannel) addBarrier(now fleet.Time, entriesBefore float64, proxyCount int) fleet.Barrier {
+	if c.silentSince == 0 || now > c.silentSince+maxAcknowledgementSilence {
+		c.silentSince = now
+	}
 	c.lastBarrier = (c.lastBarrier + 1) % barrierIDCount
 	c.pendingBarriers[c.lastBarrier] = &pendingBarrier{
 		entriesBefore: entriesBefore,
--- a/internal/balancer/channel_test.go
+++ b/internal/balancer/channel_test.go
@@ -57,3 +57,50 @@
 		t.Errorf("a weight that no proxy uses costs %.0f entries, want 0", b.channel.entriesSent-before)
 	}
 }
+
+// Guards against overfilling the update channel while the relay is cut off for some seconds: nothing is delivered, and
+// what the balancer assumes to be delivered meanwhile would still wait once the relay is back.
+func TestStalledChannelIsNotOverfilled(t *testing.T) {
+	for seed := range int64(4) {
+		sim := newSimulatedFleet(seed, 200, 60)
+		sim.site.EntriesPerSecond = 2600
+		sim.site.MaxBacklog = 6300
+		sim.site.MinServerConnections = 0
+		sim.startBalancer(fleet.ListCached)
+		sim.run(20, 0)
+		sim.channelSlowdown = 1e9
+		for round := range 5 {
+			sim.step([]fleet.Event{replaceServers(sim, sim.servers[20*round:20*round+20])})
+			sim.run(1, 0)
+		}
+		backlog := sim.backlog()
+		sim.channelSlowdown = 1
+		sim.run(20, 0)
+		if sim.violation != "" || backlog < sim.site.MaxBacklog/4 {
+			t.Errorf("seed %d: backlog of %.0f entries after the stall; %s", seed, backlog, sim.violation)
+		}
+		if entries := sim.backlog(); entries > usableBacklogFraction*sim.site.MaxBacklog {
+			t.Errorf("seed %d: backlog is %.0f entries 20 s after the stall", seed, entries)
+		}
+	}
+}
+
+// Guards against waiting without end for acknowledgements that are lost, as with a break of the relay's event stream.
+func TestLostAcknowledgementsStallForLimitedTime(t *testing.T) {
+	site := fleet.Site{EntriesPerSecond: 100, MaxBacklog: 1000}
+	channel := updateChannel{pendingBarriers: map[fleet.BarrierID]*pendingBarrier{}, entriesSent: 500, deliveredAt: 1}
+	channel.addBarrier(1, 0, 10)
+	for now := fleet.Time(1); now < maxAcknowledgementSilence; now += timerInterval {
+		channel.advance(now, &site)
+	}
+	stalled := channel.backlog(&site)
+	if stalled < 450 {
+		t.Errorf("backlog is %.0f of 500 entries while acknowledgements are overdue", stalled)
+	}
+	for now := maxAcknowledgementSilence; now < 4*maxAcknowledgementSilence; now += timerInterval {
+		channel.advance(now, &site)
+	}
+	if backlog := channel.backlog(&site); backlog > 0 {
+		t.Errorf("backlog is %.0f entries long after the acknowledgements were lost", backlog)
+	}
+}
--- a/internal/balancer/inputs.go
+++ b/internal/balancer/inputs.go
@@ -29,7 +29,7 @@
 	case fleet.DemandReport:
 		b.recordDemand(e)
 	case fleet.BarrierReached:
-		b.channel.acknowledge(e.Barrier)
+		b.channel.acknowledge(b.now, e.Barrier)
 	case fleet.OrdersUnconfirmed:
 		b.markUnconfirmed(e.Orders)
 	}
