Spill over by the part of its servers that a partition has lost

Cause: the commit before measured a partition's servers against an equal part of the fleet. A partition that simply has fewer servers, and fewer requests, spilled over without a loss, and its proxies connected to servers of all zones.

Change: the part of its known servers that is available is compared with that of the fleet.

Measured: TestCompletePartitionDoesNotSpillOver, with an uneven partition now, fails on the commit before.

--- a/internal/balancer/digest_test.go
+++ b/internal/balancer/digest_test.go
@@ -169,7 +169,7 @@
 			site.ListWeight = fleet.ListWeightLive
 			site.ProxyCount = 40
 			site.MinServerConnections = 10
-		}, "f7cf1912ebb5b1700193e053", "6b4af1bc1638a0744a41e394"},
+		}, "bd5bb8963d4dd9274aeef05f", "4b731a1d5f5e3b69ffa0c987"},
 		{6, func(site *fleet.Site) {
 			site.SliceCount = 8
 			site.PeersAllowed = true
--- a/internal/balancer/spillover.go
+++ b/internal/balancer/spillover.go
@@ -6,25 +6,32 @@
 
 // tableServers sums up a part of the servers of a table.
 type tableServers struct {
-	available float64 // what they can handle, in servers that are warm and healthy
+	known     float64 // number of servers in any state
+	available float64 // what those with a wanted weight can handle, in servers that are warm and healthy
 	weight    float64 // sum of the wanted weights
 }
 
 func (s *tableServers) add(server *serverState, table int, warmFraction float64) {
-	s.available += min(server.healthFactor, warmFraction)
-	s.weight += server.wantedWeight[table]
+	s.known++
+	if server.wantedWeight[table] > 0 {
+		s.available += min(server.healthFactor, warmFraction)
+		s.weight += server.wantedWeight[table]
+	}
 }
 
+// availableFraction returns the fraction of the servers that is available.
+func (s *tableServers) availableFraction() float64 { return s.available / max(1, s.known) }
+
 // partitionServers sums up the servers of a table by their partition.
 type partitionServers struct {
 	own      tableServers // of the table's own partition
 	siblings tableServers // of the partitions with the same number in other zones
-	others   tableServers // all but the own ones
+	all      tableServers
 }
 
-// spillOver raises the wanted weights of other partitions in the table of a partition whose own servers are too few for
-// its requests, as many of them are gone, ejected or in slow start. Otherwise the few that are left would get all
-// requests. The own servers keep as much as loads them maxUtilizationRatio times as much as the fleet.
+// spillOver raises the wanted weights of other partitions in the table of a partition that has lost more of its servers
+// than the fleet, as they are gone, ejected or in slow start. Otherwise those that are left would get all requests. They
+// keep as much as loads them maxUtilizationRatio times as much as the fleet.
 func (b *Balancer) spillOver(index int) {
 	table := &b.tables[index]
 	table.spillsOver = spillNone
@@ -32,35 +39,31 @@
 		return
 	}
 	servers := b.sumPartitionServers(index)
-	partitionMean := (servers.own.available + servers.others.available) / float64(b.layout.partitionCount)
-	ownFraction := maxUtilizationRatio * servers.own.available / max(partitionMean, epsilon)
-	target, receivers := spillToOthers, servers.others
-	if servers.siblings.available >= (1-maxUnavailableFraction)*partitionMean*float64(b.layout.zoneCount-1) {
-		target, receivers = spillToSiblings, servers.siblings
+	fleetFraction := servers.all.availableFraction()
+	ownFraction := maxUtilizationRatio * servers.own.availableFraction() / max(fleetFraction, epsilon)
+	otherWeight := servers.all.weight - servers.own.weight
+	target, receivers := spillToOthers, otherWeight
+	if servers.siblings.availableFraction() >= (1-maxUnavailableFraction)*fleetFraction {
+		target, receivers = spillToSiblings, servers.siblings.weight
 	}
-	wanted := servers.own.weight*(1/max(ownFraction, epsilon)-1) - servers.others.weight + receivers.weight
-	if receivers.weight <= 0 || wanted < minSpillFactor*receivers.weight {
+	wanted := servers.own.weight*(1/max(ownFraction, epsilon)-1) - otherWeight + receivers
+	if receivers <= 0 || wanted < minSpillFactor*receivers {
 		return
 	}
 	table.spillsOver = target
-	b.raiseReceivers(index, wanted/receivers.weight)
+	b.raiseReceivers(index, wanted/receivers)
 }
 
-// sumPartitionServers sums up the servers that have a wanted weight in a table.
+// sumPartitionServers sums up the servers of a table.
 func (b *Balancer) sumPartitionServers(index int) partitionServers {
 	table := &b.tables[index]
 	var sums partitionServers
-	for _, server := range b.endpoints.ready {
-		if server.wantedWeight[index] <= 0 {
-			continue
-		}
+	for _, server := range b.endpoints.all {
 		warmFraction := b.warmFraction(server)
+		sums.all.add(server, index, warmFraction)
 		if server.partition == table.partition {
 			sums.own.add(server, index, warmFraction)
-			continue
-		}
-		sums.others.add(server, index, warmFraction)
-		if b.layout.areSiblings(server.partition, table.partition) {
+		} else if b.layout.areSiblings(server.partition, table.partition) {
 			sums.siblings.add(server, index, warmFraction)
 		}
 	}
--- a/internal/balancer/spillover_test.go
+++ b/internal/balancer/spillover_test.go
@@ -41,10 +41,36 @@
 	}
 }
 
-// A partition with all its servers prefers them as before.
+// Guards against loading the servers that are left of a zone again as soon as the lost ones are forgotten.
+func TestSpillOverOutlastsLostServers(t *testing.T) {
+	zone := coldZone{zones: 4, serversPerZone: 20, proxies: 20, standingServers: 8, load: 0.6, partitioned: true}
+	sim := zone.newSimulation()
+	servers := zone.zoneServers(sim)
+	zone.joinProxies(sim, true)
+	sim.run(10, 0)
+	listGone(sim, servers[3:])
+	sim.run(8, 0)
+	for second := range 30 {
+		sim.run(1, 0)
+		if rate := sim.requestRate(servers[0].Server); rate > fakeServerCapacity {
+			t.Fatalf("server %d gets %.1f requests/s %d s after the loss, capacity %.0f requests/s",
+				servers[0].Server, rate, 9+second, fakeServerCapacity)
+		}
+	}
+	if sim.balancer.Tracks(servers[3].Server) {
+		t.Error("the lost servers are not forgotten, so that the test shows nothing")
+	}
+}
+
+// A partition that has lost no server prefers its own as before, even if it has fewer than others.
 func TestCompletePartitionDoesNotSpillOver(t *testing.T) {
-	zone := coldZone{zones: 4, serversPerZone: 25, proxies: 30, standingServers: 8, load: 0.6, partitioned: true}
+	zone := coldZone{zones: 4, serversPerZone: 25, proxies: 30, standingServers: 8, load: 0.3, partitioned: true}
 	sim := zone.newSimulation()
+	for _, server := range zone.zoneServers(sim)[8:] {
+		server.Zone = 1
+	}
+	sim.balancer = New(sim.site, 1)
+	sim.step([]fleet.Event{sim.endpointList(fleet.ListCached)})
 	zone.joinProxies(sim, true)
 	sim.run(6, 0)
 	for index := range sim.balancer.tables {
