Take all warming servers out of a table without warm ones, or none

Callers saw (in a simulated fleet): classes that must not leave their zone, all six servers of which restarted 6 s apart, sent one of them 16.9 requests/s where it could do 5.6; three times are allowed.

Cause: limitWarmingServer took out each server whose load was over half the limit, with the load computed before any was taken out, so the requests went to those that stayed. And the median ratio of ordered to wanted weights, the unit of a table, was that of the servers that got too much, so nothing was urgent.

Change: in a table without warm servers they share the requests by their stated fraction; if one would still get too much the table is empty, as before when all were over. The lowest ratio is the unit of such a table.

--- a/internal/balancer/desired.go
+++ b/internal/balancer/desired.go
@@ -83,6 +83,10 @@
 			b.limitToNominalFraction(server, fraction*warmingLoadFraction)
 		}
 	}
+	b.shareAmongWarming()
+	if measured {
+		b.emptyOverloadedTables(b.estimates.lowCapacity * concentration)
+	}
 }
 
 // hasAdmittedRequests reports whether the demand of some table is known.
@@ -91,8 +95,7 @@
 }
 
 // limitToNominalFraction limits the wanted weights of a server to a fraction of the requests that it would get if all
-// servers of the table were warm. Tables without warm servers are left as they are, as all their servers are limited
-// alike.
+// servers of the table were warm.
 func (b *Balancer) limitToNominalFraction(server *serverState, fraction float64) {
 	for t := range b.tables {
 		table := &b.tables[t]
@@ -112,9 +115,9 @@
 	return max(0, 1-allFailed/maxAllFailedProbability)
 }
 
-// limitWarmingServer limits the wanted weights of a server to a capacity in requests per second.
+// limitWarmingServer limits the wanted weights of a server, in tables with warm servers, to a capacity in requests per
+// second.
 func (b *Balancer) limitWarmingServer(server *serverState, capacity float64) {
-	recovery := &b.site.RecoveryRamp
 	load := epsilon
 	for t := range b.tables {
 		table := &b.tables[t]
@@ -122,12 +125,55 @@
 	}
 	for t := range b.tables {
 		table := &b.tables[t]
-		wanted := server.wantedWeight[t]
 		if table.wantedWarmWeight > 0 {
+			wanted := server.wantedWeight[t]
 			limit := wanted / table.wantedWeight * warmingLoadFraction * capacity / load * table.wantedWarmWeight
 			server.wantedWeight[t] = min(wanted, limit)
-		} else if load > capacity*recovery.OverloadFactor*unsharedOverloadFraction {
-			server.wantedWeight[t] = 0
+		}
+	}
+}
+
+// shareAmongWarming makes the servers of each table without warm servers share its requests by their capacity.
+func (b *Balancer) shareAmongWarming() {
+	for t := range b.tables {
+		table := &b.tables[t]
+		if table.wantedWarmWeight > 0 {
+			continue
+		}
+		table.wantedWeight = 0
+		for _, server := range b.endpoints.ready {
+			if server.wantedWeight[t] > 0 {
+				server.wantedWeight[t] = b.warmFraction(server)
+				table.wantedWeight += server.wantedWeight[t]
+			}
+		}
+	}
+}
+
+// emptyOverloadedTables takes all servers out of the tables without warm servers if these tables together would load a
+// server too much. Leaving out single servers would move their requests to the others. The capacity is that of a warm
+// server, in requests per second.
+func (b *Balancer) emptyOverloadedTables(capacity float64) {
+	maxLoad := capacity * b.site.OverloadFactor * unsharedOverloadFraction
+	overloaded := make([]bool, len(b.tables))
+	for _, server := range b.endpoints.ready {
+		load := 0.0
+		for t := range b.tables {
+			table := &b.tables[t]
+			if table.wantedWarmWeight == 0 {
+				load += table.admittedRate * server.wantedWeight[t] / max(table.wantedWeight, epsilon)
+			}
+		}
+		for t := range b.tables {
+			isUsed := b.tables[t].wantedWarmWeight == 0 && server.wantedWeight[t] > 0
+			overloaded[t] = overloaded[t] || isUsed && load > b.warmFraction(server)*maxLoad
+		}
+	}
+	for _, server := range b.endpoints.ready {
+		for t := range b.tables {
+			if overloaded[t] {
+				server.wantedWeight[t] = 0
+			}
 		}
 	}
 }
--- a/internal/balancer/desired_test.go
+++ b/internal/balancer/desired_test.go
@@ -54,3 +54,26 @@
 		zone.checkWarmingLoad(t, sim, 20)
 	}
 }
+
+// Guards against leaving out single servers of a class that must not leave its zone while all servers of the zone are in
+// slow start: their requests would go to the few that are left.
+func TestZoneLocalClassesDoNotOverloadLastServers(t *testing.T) {
+	for _, load := range []float64{0.5, 0.6, 0.7} {
+		for _, older := range []int{1, 2, 3} {
+			zone := coldZone{zones: 2, serversPerZone: 6, proxies: 4, standingServers: 6, load: load}
+			sim := zone.newSimulation()
+			for class := range sim.site.Classes {
+				sim.site.Classes[class].ZoneLocal = true
+			}
+			sim.balancer = New(sim.site, 1)
+			sim.step([]fleet.Event{sim.endpointList(fleet.ListCached)})
+			zone.joinProxies(sim, true)
+			sim.run(10, 0)
+			servers := zone.zoneServers(sim)
+			restartListed(sim, servers[:older])
+			sim.run(6, 0)
+			restartListed(sim, servers[older:])
+			zone.checkWarmingLoad(t, sim, 10)
+		}
+	}
+}
--- a/internal/balancer/publish.go
+++ b/internal/balancer/publish.go
@@ -132,7 +132,12 @@
 			ratios = append(ratios, ratio)
 		}
 	}
-	return tableScale{unit: cmp.Or(median(ratios), 1), largest: largest}
+	unit := median(ratios)
+	if b.tables[table].wantedWarmWeight == 0 {
+		// No warm server sets the unit: the lowest ratio does, so that what others get too much is seen.
+		unit = quantile(ratios, 0)
+	}
+	return tableScale{unit: cmp.Or(unit, 1), largest: largest}
 }
 
 // changeFor returns the weight to send for a server in a table, and whether it is due: it differs from the ordered
