--- a/internal/balancer/channel_test.go
+++ b/internal/balancer/channel_test.go
@@ -6,15 +6,22 @@
 	"cressknot/internal/fleet"
 )
 
+// newFleetWithChannel returns a fleet of 200 servers and 60 proxies whose update channel has the given capacity and
+// limit, in entries.
+func newFleetWithChannel(seed int64, entriesPerSecond, maxBacklog float64) *simulatedFleet {
+	sim := newSimulatedFleet(seed, 200, 60)
+	sim.site.EntriesPerSecond = entriesPerSecond
+	sim.site.MaxBacklog = maxBacklog
+	sim.site.MinServerConnections = 0
+	sim.startBalancer(fleet.ListCached)
+	return sim
+}
+
 // Guards against overfilling the update channel when it is eight times slower than assumed while six in ten servers are
 // replaced. The balancer must learn of the delay from the acknowledgements.
 func TestSlowChannelIsNotOverfilled(t *testing.T) {
 	for seed := range int64(4) {
-		sim := newSimulatedFleet(seed, 200, 60)
-		sim.site.EntriesPerSecond = 17600
-		sim.site.MaxBacklog = 35200
-		sim.site.MinServerConnections = 0
-		sim.startBalancer(fleet.ListCached)
+		sim := newFleetWithChannel(seed, 17600, 35200)
 		sim.run(8, 0)
 		sim.channelSlowdown = 8
 		maxBacklog := 0.0
@@ -62,11 +69,7 @@
 // what the balancer assumes to be delivered meanwhile would still wait once the relay is back.
 func TestStalledChannelIsNotOverfilled(t *testing.T) {
 	for seed := range int64(4) {
-		sim := newSimulatedFleet(seed, 200, 60)
-		sim.site.EntriesPerSecond = 2600
-		sim.site.MaxBacklog = 6300
-		sim.site.MinServerConnections = 0
-		sim.startBalancer(fleet.ListCached)
+		sim := newFleetWithChannel(seed, 2600, 6300)
 		sim.run(20, 0)
 		sim.channelSlowdown = 1e9
 		for round := range 5 {
--- a/internal/balancer/desired_test.go
+++ b/internal/balancer/desired_test.go
@@ -55,8 +55,8 @@
 	}
 }
 
-// Guards against leaving out single servers of a class that must not leave its zone while all servers of the zone are in
-// slow start: their requests would go to the few that are left.
+// Guards against leaving out single servers of a class that must not leave its zone while all servers of the zone are
+// in slow start: their requests would go to the few that are left.
 func TestZoneLocalClassesDoNotOverloadLastServers(t *testing.T) {
 	for _, load := range []float64{0.5, 0.6, 0.7} {
 		for _, older := range []int{1, 2, 3} {
--- a/internal/balancer/outliers.go
+++ b/internal/balancer/outliers.go
@@ -22,7 +22,7 @@
 	// minFailedFraction is the smallest fraction of failed attempts that makes an outlier.
 	minFailedFraction = 0.25
 	// failedFractionRatio is the ratio to the failed fraction of the fleet above which a server is an outlier. Failures
-	// that all servers share have a common cause.
+	// that all servers have alike are not the fault of a single one.
 	failedFractionRatio = 2
 	// minUsefulSuccessFraction is the fraction of successful attempts below which a server does not help even a fleet
 	// under load, so that it is ejected whether or not the other servers can replace it.
--- a/internal/balancer/withdrawals_test.go
+++ b/internal/balancer/withdrawals_test.go
@@ -212,6 +212,21 @@
 	zone.checkWarmingLoad(t, sim, 8)
 }
 
+// checkReturn lists some servers of the zone as gone after its proxies have joined. It then restarts the first server
+// of the zone and, 2 s later, the others, and checks the load meanwhile.
+func (c coldZone) checkReturn(t *testing.T, sim *simulatedFleet, gone []*fakeServer) {
+	t.Helper()
+	servers := c.zoneServers(sim)
+	c.joinProxies(sim, true)
+	sim.now += fleet.Second / 4
+	listGone(sim, gone)
+	sim.now += fleet.Second / 2
+	restartListed(sim, servers[:1])
+	c.checkWarmingLoad(t, sim, 2)
+	restartListed(sim, servers[1:])
+	c.checkWarmingLoad(t, sim, 8)
+}
+
 // Guards against readmitting the first server of a lost zone that returns, while proxies use tables in which all others
 // are still withdrawn: it would get all requests of these proxies and fail.
 func TestFirstServersOfLostZoneAreWithheld(t *testing.T) {
@@ -222,15 +237,7 @@
 		t.Run(fmt.Sprintf("%+v", zone), func(t *testing.T) {
 			sim := zone.newSimulation()
 			zone.slowDown(sim)
-			servers := zone.zoneServers(sim)
-			zone.joinProxies(sim, true)
-			sim.now += fleet.Second / 4
-			listGone(sim, servers)
-			sim.now += fleet.Second / 2
-			restartListed(sim, servers[:1])
-			zone.checkWarmingLoad(t, sim, 2)
-			restartListed(sim, servers[1:])
-			zone.checkWarmingLoad(t, sim, 8)
+			zone.checkReturn(t, sim, zone.zoneServers(sim))
 		})
 	}
 }
@@ -242,15 +249,7 @@
 	zone.slowDown(sim)
 	sim.site.MaxBacklog *= 2 // room for the withdrawal and the assignments
 	sim.balancer.site = sim.site
-	servers := zone.zoneServers(sim)
-	zone.joinProxies(sim, true)
-	sim.now += fleet.Second / 4
-	listGone(sim, servers[1:])
-	sim.now += fleet.Second / 2
-	restartListed(sim, servers[:1])
-	zone.checkWarmingLoad(t, sim, 2)
-	restartListed(sim, servers[1:])
-	zone.checkWarmingLoad(t, sim, 8)
+	zone.checkReturn(t, sim, zone.zoneServers(sim)[1:])
 }
 
 // The servers of a zone in slow start are withdrawn, as long as the others can replace them: all or none of them.
--- a/internal/ingest/timeseries/store.go
+++ b/internal/ingest/timeseries/store.go
@@ -126,8 +126,8 @@
 	}
 }
 
-// write writes rows, and deletes stored rows that are older than retention. It doesn't sync: a crash loses the latest
-// rows only.
+// write stores rows and deletes those that are older than the retention time. It does not sync the database to disk, so
+// a crash may lose the latest rows, but no others.
 func (s *Store) write(rows []serverRow, at fleet.Time) error {
 	batch := s.db.NewBatch()
 	defer func() { _ = batch.Close() }()
--- a/internal/testing/invariants/watch.go
+++ b/internal/testing/invariants/watch.go
@@ -127,7 +127,8 @@
 	w.owners[proxy] = append(w.owners[proxy], ownerChange{w.now(), controller})
 }
 
-// owner returns the controller that served a proxy at a time: the first one before its first record, "" without any.
+// owner returns the controller that served a proxy at a time: the one of the latest record up to then, or of the first
+// record if all are later. It returns "" if the proxy has no records.
 func (w *Watch) owner(proxy string, at time.Duration) string {
 	controller := ""
 	for i, o := range w.owners[proxy] {
