--- a/review/standin-2/callers.go
+++ b/review/standin-2/callers.go
@@ -46,7 +46,8 @@
 	}
 }
 
-// playCallers: forty programs use the library; the governor is restarted as planned; then a server drains.
+// playCallers: forty programs of one zone use the library over the text protocol, without a name of their own. They
+// start one after the other. The governor is restarted as planned; then a server drains.
 func playCallers(l *lab) (broken bool) {
 	const programs = 40
 	var servers []*server
@@ -54,17 +55,7 @@
 		servers = append(servers, startServer(l.rec, fmt.Sprintf("node-%02d", i+1)))
 	}
 	list := &listFile{rec: l.rec, path: l.dir + "/servers.json"}
-	entries := func(last string) (all []listed) {
-		for i, s := range servers {
-			state := "ready"
-			if i == len(servers)-1 {
-				state = last
-			}
-			all = append(all, listed{Name: s.name, Addr: s.addr, Zone: "salt-lake", State: state})
-		}
-		return all
-	}
-	list.write("six servers ready", entries("ready"))
+	list.write("six servers ready", listedServers(servers, "ready"))
 	text := l.dir + "/service.sock"
 	g := newGovernor(l.rec, l.program, l.dir, fmt.Sprintf(settingsCallers, list.path, l.dir+"/op.sock", text))
 	l.onEnd(g.stop)
@@ -102,7 +93,7 @@
 	}
 	time.Sleep(time.Second)
 	node := servers[len(servers)-1]
-	told := list.write(node.name+" drains", entries("draining"))
+	told := list.write(node.name+" drains", listedServers(servers, "draining"))
 	from := told.Add(drainGrace + socketSlack)
 	if later := answered.Add(firstAnswer + drainGrace + socketSlack); l.trouble && later.After(from) {
 		from = later
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,7 +19,11 @@
 func (l *lab) onEnd(f func()) { l.cleanup = append(l.cleanup, f) }
 
 func main() {
-	cases := map[string]func(*lab) (broken bool){"pin": playPin, "callers": playCallers}
+	cases := map[string]func(*lab) (broken bool){
+		"pinned-restart":     playRestart,
+		"pinned-proxy-death": playProxyDeath,
+		"callers":            playCallers,
+	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin2 CASE PROGRAM RECORD")
 		os.Exit(2)
--- a/review/standin-2/pin.go
+++ b/review/standin-2/pin.go
@@ -29,7 +29,7 @@
 `
 
 // clients sends requests of both classes through the proxies until stopped.
-func clients(rec *record, proxies []*proxy, classes []string, perSecond int) (stop func()) {
+func clients(proxies []*proxy, classes []string, perSecond int) (stop func()) {
 	done := make(chan struct{})
 	var number atomic.Uint64
 	go func() {
@@ -48,77 +48,120 @@
 	return func() { close(done) }
 }
 
-// playPin: an operator pins a table; a server of that table is drained and leaves the list; then the governor is
-// restarted as planned. No proxy may send to that server once the grace is over.
-func playPin(l *lab) (broken bool) {
+// pinned is the part that the cases with a pinned table share: six ready servers, three proxies, and an operator who pins
+// table 0 for 30 minutes. Then the last server drains, and leaves the list 5 s later.
+type pinned struct {
+	servers  []*server
+	node     *server // the one that leaves
+	proxies  []*proxy
+	governor *governor
+	told     time.Time // when the list named the node as draining
+}
+
+func startPinned(l *lab) *pinned {
 	classes := []string{"slot-look", "slot-book"}
-	var servers []*server
+	c := &pinned{}
 	for i := range 6 {
-		s := startServer(l.rec, fmt.Sprintf("node-%02d", i+1))
-		servers = append(servers, s)
+		c.servers = append(c.servers, startServer(l.rec, fmt.Sprintf("node-%02d", i+1)))
 	}
-	var proxies []*proxy
+	c.node = c.servers[len(c.servers)-1]
 	var settings []string
 	for i := range 3 {
-		p := newProxy(l.rec, l.dir, fmt.Sprintf("hall%d", i+1), classes, servers)
+		p := newProxy(l.rec, l.dir, fmt.Sprintf("hall%d", i+1), classes, c.servers)
 		p.start()
-		proxies = append(proxies, p)
+		c.proxies = append(c.proxies, p)
 		settings = append(settings, fmt.Sprintf(`{name: %q, zone: "salt-lake", addr: %q, visits: 20}`, p.name, p.path))
 	}
 	list := &listFile{rec: l.rec, path: l.dir + "/servers.json"}
-	entries := func(last string) (all []listed) {
-		for i, s := range servers {
-			state := "ready"
-			if i == len(servers)-1 {
-				state = last
-			}
-			if state != "" {
-				all = append(all, listed{Name: s.name, Addr: s.addr, Zone: "salt-lake", State: state})
-			}
-		}
-		return all
-	}
-	list.write("six servers ready", entries("ready"))
+	list.write("six servers ready", listedServers(c.servers, "ready"))
 	g := newGovernor(l.rec, l.program, l.dir,
 		fmt.Sprintf(settingsPin, strings.Join(settings, ", "), list.path, l.dir+"/op.sock", l.dir+"/store"))
+	c.governor = g
 	l.onEnd(g.stop)
 	g.start()
-	l.onEnd(clients(l.rec, proxies, classes, 60))
+	l.onEnd(clients(c.proxies, classes, 60))
 	time.Sleep(8 * time.Second)
 	g.mustAsk("table proxies")
 	if answer := g.mustAsk("table pin 0 30m"); !strings.Contains(answer, "is pinned") {
 		cannotRun("the table was not pinned: %s", answer)
 	}
 	time.Sleep(time.Second)
-
-	node := servers[len(servers)-1]
-	told := list.write(node.name+" drains", entries("draining"))
+	c.told = list.write(c.node.name+" drains", listedServers(c.servers, "draining"))
 	time.Sleep(5 * time.Second)
-	list.write(node.name+" has left the list", entries(""))
+	list.write(c.node.name+" has left the list", listedServers(c.servers, ""))
+	return c
+}
+
+// listedServers is the list in which the last server has the given state; "" leaves it out.
+func listedServers(servers []*server, last string) (all []listed) {
+	for i, s := range servers {
+		state := "ready"
+		if i == len(servers)-1 {
+			state = last
+		}
+		if state != "" {
+			all = append(all, listed{Name: s.name, Addr: s.addr, Zone: "salt-lake", State: state})
+		}
+	}
+	return all
+}
+
+// judge counts the requests that reached the node that left since the grace was over.
+func (c *pinned) judge(l *lab, from time.Time) (broken bool) {
+	c.governor.mustAsk("show servers")
+	c.governor.mustAsk("show refusals")
+	c.governor.mustAsk("table show 0")
+	now := time.Now()
+	late := c.node.between(from, now)
+	for _, a := range late {
+		l.rec.line("%s got %s of %s from %s, %.1f s after it was told to drain",
+			c.node.name, a.id, a.class, a.via, a.at.Sub(c.told).Seconds())
+	}
+	all := 0
+	for _, s := range c.servers {
+		all += len(s.between(from, now))
+	}
+	l.rec.say("%d of %d requests went to %s, which drained and left the list, after the grace",
+		len(late), all, c.node.name)
+	return len(late) > 0
+}
+
+// playRestart: after the server has left, the governor is restarted as planned.
+func playRestart(l *lab) (broken bool) {
+	c := startPinned(l)
 	time.Sleep(5 * time.Second)
-	if early := node.between(told.Add(drainGrace+socketSlack), time.Now()); len(early) > 0 {
-		l.rec.say("%d requests at %s after the grace, before any disruption", len(early), node.name)
+	from := c.told.Add(drainGrace + socketSlack)
+	if early := c.node.between(from, time.Now()); len(early) > 0 {
+		l.rec.say("%d requests at %s after the grace, before any disruption", len(early), c.node.name)
 	}
-	from := told.Add(drainGrace + socketSlack)
 	if l.trouble {
-		g.stop()
-		answered := g.start()
-		if later := answered.Add(firstAnswer + drainGrace + socketSlack); later.After(from) {
-			from = later
-		}
+		c.governor.stop()
+		from = c.governor.start().Add(firstAnswer + drainGrace + socketSlack)
 	}
 	time.Sleep(20 * time.Second)
-	g.mustAsk("show servers")
-	g.mustAsk("show refusals")
-	g.mustAsk("table show 0")
-	late := node.between(from, time.Now())
-	for _, a := range late {
-		l.rec.line("%s got %s of %s from %s, %.1f s after it was told to drain", node.name, a.id, a.class, a.via, a.at.Sub(told).Seconds())
+	return c.judge(l, from)
+}
+
+// proxyDown is within the 1.1 to 3.8 s after which front ends come back (BRIEF, bengal-bookings).
+const proxyDown = 3 * time.Second
+
+// playProxyDeath: after the server has left, one of the three proxies dies and comes back with the servers of its
+// configuration file.
+func playProxyDeath(l *lab) (broken bool) {
+	c := startPinned(l)
+	time.Sleep(25 * time.Second)
+	from := c.told.Add(drainGrace + socketSlack)
+	if early := c.node.between(from, time.Now()); len(early) > 0 {
+		l.rec.say("%d requests at %s after the grace, before any disruption", len(early), c.node.name)
 	}
-	answeredCount := 0
-	for _, s := range servers {
-		answeredCount += len(s.between(from, time.Now()))
+	if l.trouble {
+		l.rec.say("proxy %s dies", c.proxies[0].name)
+		c.proxies[0].stop()
+		time.Sleep(proxyDown)
+		c.proxies[0].start()
+		l.rec.say("proxy %s is back", c.proxies[0].name)
+		from = time.Now().Add(firstAnswer + drainGrace + socketSlack)
 	}
-	l.rec.say("%d of %d requests went to %s, which drained and left the list, after the grace", len(late), answeredCount, node.name)
-	return len(late) > 0
+	time.Sleep(20 * time.Second)
+	return c.judge(l, from)
 }
