--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,7 +1,9 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of review/4 to review/6 start. It needs the build of deploy/balancer.toml first:
-# that build leaves the libraries in the module cache, and nothing else is fetched.
+# Builds the stand-ins that the scripts of review/4 to review/6 start: that of this review, and that of the first one for
+# review/6. Both need the standard library only, and no network. The program itself is built by deploy/balancer.toml.
 set -eu
-cd "$(dirname "$0")/standin-2"
-mkdir -p bin
-go build -buildvcs=false -trimpath -o bin/standin2 .
+cd "$(dirname "$0")"
+mkdir -p standin-2/bin
+export GOWORK=off CGO_ENABLED=0
+(cd standin-2 && go build -buildvcs=false -trimpath -o bin/standin2 .)
+go build -buildvcs=false -trimpath -o standin-2/bin/review-standin ./standin
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,7 +22,6 @@
 	cases := map[string]func(*lab) (broken bool){
 		"pinned-restart":     playRestart,
 		"pinned-proxy-death": playProxyDeath,
-		"callers":            playCallers,
 	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin2 CASE PROGRAM RECORD")
