--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -5,18 +5,54 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
 )
 
+// timeLimit ends a case that takes too long, with exit code 2. No case should reach it.
+const timeLimit = 115 * time.Second
+
 // lab is what all cases share.
 type lab struct {
 	rec     *record
 	dir     string // temporary folder
 	program string // bin/cressknot
 	trouble bool
+
+	mu      sync.Mutex
 	cleanup []func()
 }
 
-func (l *lab) onEnd(f func()) { l.cleanup = append(l.cleanup, f) }
+func (l *lab) onEnd(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cleanup = append(l.cleanup, f)
+}
+
+// end ends what was started, the latest first. Further calls do nothing.
+func (l *lab) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := len(l.cleanup) - 1; i >= 0; i-- {
+		l.cleanup[i]()
+	}
+	l.cleanup = nil
+}
+
+// endEarly ends the case when it is interrupted or takes too long, so that no process is left.
+func (l *lab) endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	select {
+	case <-signals:
+	case <-time.After(timeLimit):
+	}
+	fmt.Fprintln(os.Stderr, "could not run: interrupted, or over the time limit")
+	l.end()
+	os.Exit(2)
+}
 
 func main() {
 	cases := map[string]func(*lab) (broken bool){
@@ -33,9 +69,7 @@
 func play(run func(*lab) bool, program, recordPath string) (code int) {
 	l := &lab{program: program, trouble: os.Getenv("TROUBLE") != "0"}
 	defer func() {
-		for i := len(l.cleanup) - 1; i >= 0; i-- {
-			l.cleanup[i]()
-		}
+		l.end()
 		if cause := recover(); cause != nil {
 			reason, ok := cause.(setupError)
 			if !ok {
@@ -45,6 +79,7 @@
 			code = 2
 		}
 	}()
+	go l.endEarly()
 	l.rec = newRecord(recordPath)
 	dir, err := os.MkdirTemp("", "case")
 	if err != nil {
