Log each call to discovery, its wait, and a withdrawal from order to acknowledgement

Change: discovery calls are logged as they start, are answered and end, with the cause; a failed update names the wait for the next request; calls with withdrawals are logged at both ends, and the acknowledgement of the last proxy.

--- a/internal/balancer/endpoints.go
+++ b/internal/balancer/endpoints.go
@@ -100,6 +100,9 @@
 	b.endpoints.requestBackoff = min(maxBackoff, 2*backoff)
 }
 
+// NextListRequest returns when the endpoint list is requested next, 0 if no request is scheduled.
+func (b *Balancer) NextListRequest() fleet.Time { return b.endpoints.nextRequestAt }
+
 // emitListRequest requests the endpoint list if a request is due.
 func (b *Balancer) emitListRequest() {
 	if b.endpoints.nextRequestAt > 0 && b.endpoints.nextRequestAt <= b.now {
--- a/internal/discovery/platform.go
+++ b/internal/discovery/platform.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 // Timeouts and limits of the connections to the platform's discovery service.
@@ -49,6 +51,7 @@
 	Zones    []string    // zones that a list may contain
 	Kinds    []string    // server kinds that a list may contain
 	OnError  func(error) // receives errors that no update reports, such as a failed change of address; may be nil
+	Log      zerolog.Logger
 
 	lineTimeout    time.Duration // 0: platformLineTimeout
 	sink           func(Update)
--- a/internal/discovery/platformclient.go
+++ b/internal/discovery/platformclient.go
@@ -33,9 +33,11 @@
 	addr := p.currentAddr
 	url := "http://" + addr + platformPath + fmt.Sprintf(watchQuery, p.Revision)
 	p.workers.Go(func() {
-		err := p.readWatch(ctx, url, func(list *EndpointList) {
+		call := p.startCall(watchCall, addr, url)
+		err := p.readWatch(ctx, call, func(list *EndpointList) {
 			p.send(ctx, watchMessage{watch: watch, list: list})
 		})
+		call.end(err)
 		p.send(ctx, watchMessage{watch: watch, err: fmt.Errorf("endpoint list: watch at %s: %w", addr, err)})
 	})
 	return watch
@@ -46,7 +48,9 @@
 	addr := p.currentAddr
 	knownRevision := p.Revision
 	p.workers.Go(func() {
-		list, err := p.fetch(ctx, "http://"+addr+platformPath)
+		call := p.startCall(fetchCall, addr, "http://"+addr+platformPath)
+		list, err := p.fetch(ctx, call)
+		call.end(err)
 		if err != nil {
 			err = fmt.Errorf("endpoint list: fetch from %s: %w", addr, err)
 		}
@@ -63,10 +67,10 @@
 }
 
 // fetch requests the complete list.
-func (p *PlatformSource) fetch(ctx context.Context, url string) (*EndpointList, error) {
+func (p *PlatformSource) fetch(ctx context.Context, call *platformCall) (*EndpointList, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformHeaderTimeout+platformHeartbeatTimeout)
 	defer cancel()
-	body, err := p.get(ctx, url)
+	body, err := p.get(ctx, call)
 	if err != nil {
 		return nil, err
 	}
@@ -79,8 +83,8 @@
 }
 
 // get returns the response body, which the caller closes. Any status other than 200 is a *statusError.
-func (p *PlatformSource) get(ctx context.Context, url string) (io.ReadCloser, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+func (p *PlatformSource) get(ctx context.Context, call *platformCall) (io.ReadCloser, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, call.url, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -92,15 +96,18 @@
 		_ = response.Body.Close()
 		return nil, &statusError{status: response.Status}
 	}
+	call.markAnswered()
 	return response.Body, nil
 }
 
 // readWatch reads a watch until the connection ends, a timeout expires or a line can't be decoded. It calls receive
 // with each list, and with nil for each heartbeat. The returned error is never nil.
-func (p *PlatformSource) readWatch(ctx context.Context, url string, receive func(*EndpointList)) error {
+func (p *PlatformSource) readWatch(
+	ctx context.Context, call *platformCall, receive func(*EndpointList),
+) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	body, err := p.get(ctx, url)
+	body, err := p.get(ctx, call)
 	if err != nil {
 		return err
 	}
--- a/internal/platform/controller.go
+++ b/internal/platform/controller.go
@@ -16,6 +16,7 @@
 	WatchRequests        []bool            // each starts (true) or stops (false) the watch of the endpoint list
 	FetchRequests        int               // number of requests for the complete endpoint list
 	Withdrawals          []Withdrawal
+	AppliedWithdrawals   []AppliedWithdrawals // acknowledged in this step by the last of the proxies
 	LogMessages          []string
 	UnknownServerReports int        // load reports dropped because their server is not in the endpoint list
 	NextTimer            fleet.Time // due time of the next timer; 0: no timer is set
@@ -28,6 +29,14 @@
 	Cause     fleet.WithdrawalCause
 }
 
+// AppliedWithdrawals reports, for the log, that all proxies which were sent the withdrawals of one step have applied
+// them.
+type AppliedWithdrawals struct {
+	Servers  []string
+	Proxies  int
+	Duration fleet.Time // since the step that ordered them
+}
+
 // Controller translates between the platform and the balancer. It is not safe for concurrent use.
 type Controller struct {
 	site     fleet.Site
@@ -35,6 +44,7 @@
 	servers  serverRegistry
 	proxies  proxyTracker
 	timers   timerQueue
+	applying withdrawalTracker
 	events   []fleet.Event // input of the balancer's next step
 }
 
@@ -55,7 +65,7 @@
 func (c *Controller) Step(now fleet.Time, batch Batch) Effects {
 	var effects Effects
 	for _, message := range batch.Messages {
-		c.handleMessage(message, &effects)
+		c.handleMessage(now, message, &effects)
 	}
 	for i := range batch.Reports {
 		c.handleReport(&batch.Reports[i], &effects)
@@ -68,18 +78,24 @@
 	for _, order := range orders {
 		c.applyOrder(now, order, &effects)
 	}
+	c.applying.track(now, &effects, c.JoinedProxies())
 	effects.NextTimer = c.timers.next()
 	return effects
 }
 
+// untilListRequest returns the time until the next request for the endpoint list, 0 if none is due or scheduled.
+func (c *Controller) untilListRequest(now fleet.Time) fleet.Time {
+	return max(0, c.balancer.NextListRequest()-now)
+}
+
 // JoinedProxies returns the number of proxies that the relay currently reports as joined. It may only be called by the
 // goroutine that steps the controller.
 func (c *Controller) JoinedProxies() int { return len(c.proxies.joined) }
 
-func (c *Controller) handleMessage(message Message, effects *Effects) {
+func (c *Controller) handleMessage(now fleet.Time, message Message, effects *Effects) {
 	switch m := message.(type) {
 	case RelayEvent:
-		c.handleStreamEvent(m.StreamEvent, effects)
+		c.handleStreamEvent(now, m.StreamEvent, effects)
 	case OperationsUnconfirmed:
 		c.handleUnconfirmed(m.Operations)
 	case EndpointsChanged:
--- a/internal/platform/logging.go
+++ b/internal/platform/logging.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"cressknot/internal/discovery"
 	"cressknot/internal/fleet"
@@ -65,7 +66,8 @@
 // logEndpoints logs the failure of an update, or the content of a changed endpoint list.
 func (l *loop) logEndpoints(now fleet.Time, update discovery.Update) {
 	if update.Err != nil {
-		l.Log.Warn().Err(update.Err).Msg("endpoint list update failed")
+		l.Log.Warn().Err(update.Err).Dur("next_request_in", time.Duration(l.Controller.untilListRequest(now))).
+			Msg("endpoint list update failed")
 	}
 	if update.Unchanged || update.Scope == fleet.ListFailed {
 		return
@@ -93,6 +95,10 @@
 // estimateLogInterval.
 func (l *loop) logStep(now fleet.Time, effects Effects) {
 	l.logWithdrawals(effects.Withdrawals)
+	for _, applied := range effects.AppliedWithdrawals {
+		l.Log.Info().Strs("servers", applied.Servers).Int("proxies", applied.Proxies).
+			Dur("after", time.Duration(applied.Duration)).Msg("withdrawals applied by proxies")
+	}
 	for _, text := range effects.LogMessages {
 		l.Log.Info().Msg(text)
 	}
--- a/internal/platform/stream.go
+++ b/internal/platform/stream.go
@@ -23,7 +23,7 @@
 }
 
 // handleStreamEvent handles an event of the relay's event stream.
-func (c *Controller) handleStreamEvent(event relay.StreamEvent, effects *Effects) {
+func (c *Controller) handleStreamEvent(now fleet.Time, event relay.StreamEvent, effects *Effects) {
 	if event.Stream < c.proxies.currentStream {
 		return
 	}
@@ -35,7 +35,7 @@
 	case relay.SnapshotComplete:
 		c.completeSnapshot(effects)
 	case relay.ProxyEvent:
-		c.handleProxyEvent(event.Event, effects)
+		c.handleProxyEvent(now, event.Event, effects)
 	}
 }
 
@@ -57,12 +57,15 @@
 	c.proxies.snapshotProxies = nil
 }
 
-func (c *Controller) handleProxyEvent(event fleet.Event, effects *Effects) {
+func (c *Controller) handleProxyEvent(now fleet.Time, event fleet.Event, effects *Effects) {
 	switch e := event.(type) {
 	case fleet.ProxyJoined:
 		c.handleProxyJoined(e, effects)
 	case fleet.ProxyLeft:
 		c.handleProxyLeft(e.Proxy, effects)
+	case fleet.BarrierReached:
+		c.applying.acknowledge(now, e.Barrier, effects)
+		c.events = append(c.events, e)
 	default:
 		c.events = append(c.events, e)
 	}
--- a/internal/server/platform.go
+++ b/internal/server/platform.go
@@ -132,6 +132,7 @@
 		Zones:    settings.Site.Zones,
 		Kinds:    settings.Site.Kinds,
 		OnError:  func(err error) { log.Warn().Err(err).Msg("endpoint discovery failed") },
+		Log:      log,
 	}
 	return s
 }
--- a/internal/transport/relay/calls.go
+++ b/internal/transport/relay/calls.go
@@ -89,8 +89,12 @@
 func (c *Client) sendNextCall(ctx context.Context) callOutcome {
 	c.mu.Lock()
 	text, operations := c.queue.nextCall()
+	withdrawn := c.queue.withdrawnServers()
 	addr := c.addr
 	c.mu.Unlock()
+	if len(withdrawn) > 0 {
+		c.options.Log.Info().Strs("servers", withdrawn).Msg("relay call with withdrawals started")
+	}
 
 	began := time.Now()
 	accepted, callErr := c.call(ctx, addr, text, operations)
@@ -115,6 +119,10 @@
 		c.options.Log.Debug().Int("operations", operations).Int("accepted", accepted).
 			Dur("duration", time.Since(began)).Msg("relay call answered")
 	}
+	if len(withdrawn) > 0 {
+		c.options.Log.Info().Err(callErr).Int("operations", operations).Int("accepted", accepted).
+			Dur("duration", time.Since(began)).Msg("relay call with withdrawals ended")
+	}
 	return outcome
 }
 
--- a/internal/transport/relay/queue.go
+++ b/internal/transport/relay/queue.go
@@ -72,6 +72,17 @@
 	return strings.Join(parts, ";"), len(q.call)
 }
 
+// withdrawnServers returns the names of the servers that the next call withdraws, for the log.
+func (q *callQueue) withdrawnServers() []string {
+	var servers []string
+	for _, operation := range q.call {
+		if order, ok := operation.Order.(fleet.WithdrawServer); ok && order.Withdrawn {
+			servers = append(servers, operation.Server)
+		}
+	}
+	return servers
+}
+
 // startCall moves as many pending operations into the call as maxCallSize allows.
 func (q *callQueue) startCall() {
 	size := 0
