Bound the wait between endpoint list requests by the drain timeout

Cause: scheduleListRequest doubled the wait after each failure up to half of askWithinMs, 5 s in the mean, whatever the drain timeout left. Requests were also only sent at the balancer's next 250 ms timer, so that those of many controllers came in groups.

Change: requests follow each other at an interval that does not grow: two thirds of what the drain timeout leaves after the delivery of a withdrawal through a filled channel (docs/design/decisions.md has the sum), with jitter, and evenly spread after a lost watch. A timer of its own sends each when it is due.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -32,21 +32,22 @@
 // Balancer decides the weight tables, assignments and admission limits of the proxies that are joined to one
 // controller. It is not safe for concurrent use: the host calls its methods from one goroutine.
 type Balancer struct {
-	site      fleet.Site
-	random    randomGenerator
-	layout    tableLayout
-	classes   []requestClass // by ClassID
-	tables    []weightTable  // by TableID
-	endpoints endpointState
-	zones     zonesState
-	proxies   proxyRegistry
-	estimates fleetEstimates
-	admission admissionState
-	shedding  sheddingState
-	channel   updateChannel
-	schedule  schedule
-	now       fleet.Time    // time of the current step
-	orders    []fleet.Order // emitted in the current step
+	site         fleet.Site
+	random       randomGenerator
+	layout       tableLayout
+	classes      []requestClass // by ClassID
+	tables       []weightTable  // by TableID
+	endpoints    endpointState
+	listRequests listRequests
+	zones        zonesState
+	proxies      proxyRegistry
+	estimates    fleetEstimates
+	admission    admissionState
+	shedding     sheddingState
+	channel      updateChannel
+	schedule     schedule
+	now          fleet.Time    // time of the current step
+	orders       []fleet.Order // emitted in the current step
 }
 
 // schedule holds when the periodic parts of a step ran last or are due.
@@ -92,7 +93,7 @@
 	observationEnds := b.observationEnds()
 	b.schedule.intervalDue = now >= b.schedule.balancedAt+balanceInterval || observationEnds
 	estimatesDue := b.schedule.intervalDue || now >= b.schedule.estimatedAt+estimateInterval
-	if !estimatesDue && now < b.schedule.timerDueAt {
+	if !estimatesDue && now < b.schedule.timerDueAt && !b.isListRequestDue() {
 		return b.orders
 	}
 
@@ -128,7 +129,7 @@
 	b.channel.deliveredAt = b.now
 	b.channel.broadcastAt = b.now - balanceInterval
 	if b.site.ListOnRequest {
-		b.endpoints.nextRequestAt = b.now
+		b.listRequests.dueAt = b.now
 	}
 }
 
--- a/internal/balancer/endpoints.go
+++ b/internal/balancer/endpoints.go
@@ -8,13 +8,6 @@
 )
 
 const (
-	// minListRequestBackoff is the mean backoff after the first failed endpoint list request; each further failure
-	// doubles it.
-	minListRequestBackoff = 2 * timerInterval
-	// pollIntervalDivisor limits the mean backoff to half the poll interval, as jitter adds up to half of it.
-	pollIntervalDivisor = 2
-	// minBackoffJitter is the smallest jitter factor of the backoff. The largest is greater by 1.
-	minBackoffJitter = 0.5
 	// goneServerRetention is how long the state of a gone server is kept after its withdrawal.
 	goneServerRetention = 16 * fleet.Second
 	// remotePartitionWeight, divided by the number of partitions, is the initial weight of a server in each table of
@@ -22,21 +15,15 @@
 	remotePartitionWeight = 0.1
 )
 
-// endpointState is the state of endpoint discovery: the servers of the endpoint list and the next request for it.
+// endpointState holds the servers of the endpoint list.
 type endpointState struct {
 	byID  map[fleet.ServerID]*serverState
 	all   []*serverState // ordered by ID, with gone servers until their state is removed
 	ready []*serverState // ordered by ID, servers listed as ready
-	// nextRequestAt is when to request the list; 0: no request is pending.
-	nextRequestAt  fleet.Time
-	requestBackoff fleet.Time
 }
 
 func newEndpointState() endpointState {
-	return endpointState{
-		byID:           map[fleet.ServerID]*serverState{},
-		requestBackoff: minListRequestBackoff,
-	}
+	return endpointState{byID: map[fleet.ServerID]*serverState{}}
 }
 
 // serverState is the state of a server: its endpoint, measurements, health and latest orders.
@@ -78,7 +65,6 @@
 		b.scheduleListRequest()
 		return
 	}
-	b.endpoints.requestBackoff = minListRequestBackoff
 	b.schedule.timerDueAt = b.now
 	isFirstList := len(b.endpoints.all) == 0
 	listed := map[fleet.ServerID]bool{}
@@ -92,25 +78,6 @@
 	slices.SortFunc(b.endpoints.all, func(x, y *serverState) int { return cmp.Compare(x.Server, y.Server) })
 }
 
-// scheduleListRequest schedules the next request for the endpoint list after a backoff with jitter.
-func (b *Balancer) scheduleListRequest() {
-	backoff := b.endpoints.requestBackoff
-	b.endpoints.nextRequestAt = b.now + backoff.Scale(minBackoffJitter+b.random.float64())
-	maxBackoff := max(minListRequestBackoff, b.site.MaxPollInterval/pollIntervalDivisor)
-	b.endpoints.requestBackoff = min(maxBackoff, 2*backoff)
-}
-
-// NextListRequest returns when the endpoint list is requested next, 0 if no request is scheduled.
-func (b *Balancer) NextListRequest() fleet.Time { return b.endpoints.nextRequestAt }
-
-// emitListRequest requests the endpoint list if a request is due.
-func (b *Balancer) emitListRequest() {
-	if b.endpoints.nextRequestAt > 0 && b.endpoints.nextRequestAt <= b.now {
-		b.endpoints.nextRequestAt = 0
-		b.emit(fleet.WatchEndpoints{Enabled: true})
-	}
-}
-
 // emitProbes requests a health check of each ready server once per balance interval, on sites where the results carry
 // the load reports.
 func (b *Balancer) emitProbes() {
--- /dev/null
+++ b/internal/balancer/listrequests.go
@@ -0,0 +1,70 @@
+package balancer
+
+import "cressknot/internal/fleet"
+
+const (
+	// listRequestFraction is the part of the time that the drain timeout leaves after an outage of endpoint discovery
+	// that may pass until the next list request. Discovery has the rest to answer it.
+	listRequestFraction = 2.0 / 3
+	// listRequestJitter is the random fraction of the interval between two requests.
+	listRequestJitter = 0.25
+	// minListRequestInterval limits the load on discovery on sites whose drain timeout leaves no time.
+	minListRequestInterval = timerInterval
+	// pollIntervalDivisor limits the interval to half the poll interval.
+	pollIntervalDivisor = 2
+)
+
+// listRequests schedules the requests for the endpoint list. Discovery may be unreachable when a server starts to drain,
+// and the drain timeout does not wait for its return. So the interval between failing requests does not grow: it is
+// bounded by what the drain timeout leaves, however long the outage lasts. docs/design/decisions.md has the sum.
+type listRequests struct {
+	sentAt fleet.Time // latest request
+	dueAt  fleet.Time // next request; 0: none is scheduled
+}
+
+// NextListRequest returns when the endpoint list is requested next, 0 if no request is scheduled.
+func (b *Balancer) NextListRequest() fleet.Time { return b.listRequests.dueAt }
+
+// scheduleListRequest schedules the next request for the endpoint list after one has failed. Requests follow each other
+// at a bounded interval. After a request that took longer, as a watch that has ended, the next follows at a random time
+// within that interval, as many controllers may have lost their watches at once.
+func (b *Balancer) scheduleListRequest() {
+	interval := b.maxListRequestInterval()
+	dueAt := b.listRequests.sentAt + interval.Scale(1-listRequestJitter*b.random.float64())
+	if dueAt <= b.now {
+		dueAt = b.now + interval.Scale(b.random.float64())
+	}
+	b.listRequests.dueAt = dueAt
+	b.emit(fleet.SetTimer{Delay: dueAt - b.now})
+}
+
+// maxListRequestInterval returns the longest time between two requests for the endpoint list while they fail.
+func (b *Balancer) maxListRequestInterval() fleet.Time {
+	left := b.site.DrainTimeout - b.maxWithdrawalDelay()
+	interval := max(minListRequestInterval, left.Scale(listRequestFraction))
+	if b.site.MaxPollInterval > 0 {
+		interval = min(interval, b.site.MaxPollInterval/pollIntervalDivisor)
+	}
+	return interval
+}
+
+// maxWithdrawalDelay returns the longest time from the order of a withdrawal until proxies apply it, if ordinary updates
+// were sent just before it.
+func (b *Balancer) maxWithdrawalDelay() fleet.Time {
+	backlogSeconds := usableBacklogFraction * b.site.MaxBacklog / max(epsilon, b.site.EntriesPerSecond)
+	return max(b.broadcastInterval(), fleet.Second.Scale(backlogSeconds)) + b.site.MaxUpdateDelay
+}
+
+// isListRequestDue reports whether the endpoint list is to be requested in this step.
+func (b *Balancer) isListRequestDue() bool {
+	return b.listRequests.dueAt > 0 && b.listRequests.dueAt <= b.now
+}
+
+// emitListRequest requests the endpoint list if a request is due.
+func (b *Balancer) emitListRequest() {
+	if !b.isListRequestDue() {
+		return
+	}
+	b.listRequests = listRequests{sentAt: b.now}
+	b.emit(fleet.WatchEndpoints{Enabled: true})
+}
