Dial discovery for 0.25 s, so that a call of an outage does not outlast it

Cause: a call that begins in a cut of the network can't succeed, and platformDialTimeout let it go on for 1 s.

Change: the timeout is the relay's, on the same network, 0.25 s; a lost SYN is sent again by the next call, as the system's own retransmission comes after 1 s and was never reached.

--- a/internal/balancer/listrequests.go
+++ b/internal/balancer/listrequests.go
@@ -14,9 +14,9 @@
 	pollIntervalDivisor = 2
 )
 
-// listRequests schedules the requests for the endpoint list. Discovery may be unreachable when a server starts to drain,
-// and the drain timeout does not wait for its return. So the interval between failing requests does not grow: it is
-// bounded by what the drain timeout leaves, however long the outage lasts. docs/design/decisions.md has the sum.
+// listRequests schedules the requests for the endpoint list. Discovery may be unreachable when a server starts to
+// drain, and the drain timeout does not wait for its return. So the interval between failing requests does not grow: it
+// is bounded by what the drain timeout leaves, however long the outage lasts. docs/design/decisions.md has the sum.
 type listRequests struct {
 	sentAt fleet.Time // latest request
 	dueAt  fleet.Time // next request; 0: none is scheduled
@@ -48,8 +48,8 @@
 	return interval
 }
 
-// maxWithdrawalDelay returns the longest time from the order of a withdrawal until proxies apply it, if ordinary updates
-// were sent just before it.
+// maxWithdrawalDelay returns the longest time from the order of a withdrawal until proxies apply it, if ordinary
+// updates were sent just before it.
 func (b *Balancer) maxWithdrawalDelay() fleet.Time {
 	backlogSeconds := usableBacklogFraction * b.site.MaxBacklog / max(epsilon, b.site.EntriesPerSecond)
 	return max(b.broadcastInterval(), fleet.Second.Scale(backlogSeconds)) + b.site.MaxUpdateDelay
--- a/internal/discovery/platform.go
+++ b/internal/discovery/platform.go
@@ -14,8 +14,9 @@
 
 // Timeouts and limits of the connections to the platform's discovery service.
 const (
-	// platformDialTimeout suits a service on the same network. A machine behind a network partition never answers.
-	platformDialTimeout = time.Second
+	// platformDialTimeout suits a service on the same network. A machine behind a network partition never answers, and a
+	// call that began before the end of the partition delays the next one until its timeout.
+	platformDialTimeout = 250 * time.Millisecond
 
 	// platformHeaderTimeout allows for a service that handles one request at a time and rejects requests that have been
 	// queued for some seconds.
@@ -54,6 +55,7 @@
 	Log      zerolog.Logger
 
 	lineTimeout    time.Duration // 0: platformLineTimeout
+	dial           dialFunc      // nil: over TCP
 	sink           func(Update)
 	client         http.Client
 	pendingChanged chan struct{} // has an element when pending has changed
@@ -69,6 +71,9 @@
 	workers     sync.WaitGroup
 }
 
+// dialFunc opens a connection, as net.Dialer.DialContext does.
+type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // platformRequests holds the requests that run has not yet handled, and the address to use.
 type platformRequests struct {
 	watch   bool
@@ -119,9 +124,8 @@
 	p.pending.addr = p.Addr
 	p.currentAddr = p.Addr
 	p.lineTimeout = cmp.Or(p.lineTimeout, platformLineTimeout)
-	dialer := net.Dialer{Timeout: platformDialTimeout}
 	p.client.Transport = &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            p.dialWithTimeout,
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		ResponseHeaderTimeout:  platformHeaderTimeout,
@@ -131,6 +135,17 @@
 	return nil
 }
 
+// dialWithTimeout connects to the service within platformDialTimeout.
+func (p *PlatformSource) dialWithTimeout(ctx context.Context, network, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, platformDialTimeout)
+	defer cancel()
+	if p.dial != nil {
+		return p.dial(ctx, network, addr)
+	}
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, network, addr)
+}
+
 // Watch starts a watch, which replaces the running one, or ends the running one.
 func (p *PlatformSource) Watch(enabled bool) {
 	p.updatePending(func(pending *platformRequests) {
