Run the plays of discovery outages without the race detector

Seen: of 25 runs with -race one ended with 'ThreadSanitizer: CHECK failed: tsan_rtl.cpp:346' (epoch of a thread), one with a dump of registers whose head was not kept; none with a failure of the test. The check is one of the detector's runtime.

Other tests of the source run with it.

--- a/internal/discovery/fakeservice_test.go
+++ b/internal/discovery/fakeservice_test.go
@@ -1,3 +1,5 @@
+//go:build !race
+
 package discovery_test
 
 import (
--- a/internal/discovery/outage_test.go
+++ b/internal/discovery/outage_test.go
@@ -1,3 +1,8 @@
+//go:build !race
+
+// The race detector's runtime fails a check of its own in about one of ten runs of these tests, which have hundreds of
+// goroutines and some 100,000 virtual seconds: "tsan_rtl.cpp: CHECK failed". So they run without it, see .ci/run.
+
 package discovery_test
 
 import (
