--- a/internal/discovery/outage_test.go
+++ b/internal/discovery/outage_test.go
@@ -1,7 +1,7 @@
 //go:build !race
 
-// The race detector's runtime fails a check of its own in about one of ten runs of these tests, which have hundreds of
-// goroutines and some 100,000 virtual seconds: "tsan_rtl.cpp: CHECK failed". So they run without it, see .ci/run.
+// The race detector's runtime can fail a check of its own in these tests, which have hundreds of goroutines: "CHECK
+// failed: tsan_rtl.cpp". So they run without it, see .ci/run.
 
 package discovery_test
 
