Bound the delays between connection attempts by the drain timeout

Cause: DialBackoff grows to 2 s (1 to 2 s with jitter) whatever the drain timeout is. The relay's event stream, the long polls of serve, proxy links and writes of proxy files use it.

First delays stay as short as they were.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -194,7 +194,7 @@
 	}
 	b.updateZones()
 	entriesBefore := b.channel.entriesSent
-	if b.now >= b.channel.broadcastAt+b.broadcastInterval() {
+	if b.now >= b.channel.broadcastAt+broadcastInterval(&b.site) {
 		b.publish()
 	}
 	reached := b.assignProxies()
--- a/internal/balancer/channel.go
+++ b/internal/balancer/channel.go
@@ -131,7 +131,7 @@
 }
 
 // broadcastInterval returns the time between messages to all proxies that the message limit of a proxy allows.
-func (b *Balancer) broadcastInterval() fleet.Time {
-	maxBroadcasts := max(1, cmp.Or(b.site.MaxMessages, unlimitedMessages)-reservedMessages)
-	return max(minBroadcastInterval, b.site.MessageWindow/fleet.Time(maxBroadcasts))
+func broadcastInterval(site *fleet.Site) fleet.Time {
+	maxBroadcasts := max(1, cmp.Or(site.MaxMessages, unlimitedMessages)-reservedMessages)
+	return max(minBroadcastInterval, site.MessageWindow/fleet.Time(maxBroadcasts))
 }
--- a/internal/balancer/listrequests.go
+++ b/internal/balancer/listrequests.go
@@ -3,13 +3,13 @@
 import "cressknot/internal/fleet"
 
 const (
-	// listRequestFraction is the part of the time that the drain timeout leaves after an outage of endpoint discovery
-	// that may pass until the next list request. Discovery has the rest to answer it.
-	listRequestFraction = 2.0 / 3
-	// listRequestJitter is the random fraction of the interval between two requests.
+	// retryFraction is the part of the time that the drain timeout leaves after an outage that may pass until the next
+	// attempt. The other side has the rest to answer it.
+	retryFraction = 2.0 / 3
+	// minRetryInterval limits the load by attempts on sites whose drain timeout leaves no time.
+	minRetryInterval = timerInterval
+	// listRequestJitter is the random fraction of the interval between two list requests.
 	listRequestJitter = 0.25
-	// minListRequestInterval limits the load on discovery on sites whose drain timeout leaves no time.
-	minListRequestInterval = timerInterval
 	// pollIntervalDivisor limits the interval to half the poll interval.
 	pollIntervalDivisor = 2
 )
@@ -29,7 +29,7 @@
 // at a bounded interval. After a request that took longer, as a watch that has ended, the next follows at a random time
 // within that interval, as many controllers may have lost their watches at once.
 func (b *Balancer) scheduleListRequest() {
-	interval := b.maxListRequestInterval()
+	interval := MaxRetryInterval(&b.site)
 	dueAt := b.listRequests.sentAt + interval.Scale(1-listRequestJitter*b.random.float64())
 	if dueAt <= b.now {
 		dueAt = b.now + interval.Scale(b.random.float64())
@@ -38,21 +38,22 @@
 	b.emit(fleet.SetTimer{Delay: dueAt - b.now})
 }
 
-// maxListRequestInterval returns the longest time between two requests for the endpoint list while they fail.
-func (b *Balancer) maxListRequestInterval() fleet.Time {
-	left := b.site.DrainTimeout - b.maxWithdrawalDelay()
-	interval := max(minListRequestInterval, left.Scale(listRequestFraction))
-	if b.site.MaxPollInterval > 0 {
-		interval = min(interval, b.site.MaxPollInterval/pollIntervalDivisor)
+// MaxRetryInterval returns the longest time between two attempts to reach discovery, the relay or a proxy while they
+// fail. It is bounded by what the drain timeout leaves after the delivery of a withdrawal.
+func MaxRetryInterval(site *fleet.Site) fleet.Time {
+	left := site.DrainTimeout - maxWithdrawalDelay(site)
+	interval := max(minRetryInterval, left.Scale(retryFraction))
+	if site.MaxPollInterval > 0 {
+		interval = min(interval, site.MaxPollInterval/pollIntervalDivisor)
 	}
 	return interval
 }
 
 // maxWithdrawalDelay returns the longest time from the order of a withdrawal until proxies apply it, if ordinary
 // updates were sent just before it.
-func (b *Balancer) maxWithdrawalDelay() fleet.Time {
-	backlogSeconds := usableBacklogFraction * b.site.MaxBacklog / max(epsilon, b.site.EntriesPerSecond)
-	return max(b.broadcastInterval(), fleet.Second.Scale(backlogSeconds)) + b.site.MaxUpdateDelay
+func maxWithdrawalDelay(site *fleet.Site) fleet.Time {
+	backlogSeconds := usableBacklogFraction * site.MaxBacklog / max(epsilon, site.EntriesPerSecond)
+	return max(broadcastInterval(site), fleet.Second.Scale(backlogSeconds)) + site.MaxUpdateDelay
 }
 
 // isListRequestDue reports whether the endpoint list is to be requested in this step.
--- a/internal/balancer/listrequests_test.go
+++ b/internal/balancer/listrequests_test.go
@@ -72,7 +72,7 @@
 	interval := fleet.Time(0)
 	for seed := range uint64(controllers) {
 		b := New(site, seed*0x9e3779b97f4a7c15)
-		interval = b.maxListRequestInterval()
+		interval = MaxRetryInterval(&b.site)
 		lostAt := simulationStart + 10*fleet.Second
 		b.Step(simulationStart, nil)
 		b.Step(simulationStart+fleet.Second, []fleet.Event{fleet.EndpointList{Scope: fleet.ListDelta}})
--- a/internal/discovery/httpsource.go
+++ b/internal/discovery/httpsource.go
@@ -19,6 +19,8 @@
 	URL       string
 	Wait      fleet.Time // how long the service may delay its answer until a change
 	OnRequest bool       // watch only from Watch(true) until a poll fails
+	// MaxRetryInterval is the longest delay between two polls of a watch that fail. 0: that of reconcile.DialBackoff.
+	MaxRetryInterval fleet.Time
 
 	ctx    context.Context // passed to Start; ends watches and fetches
 	sink   func(Update)
@@ -91,7 +93,7 @@
 
 // watch polls until the context ends. The first poll returns at once, without waiting for a change.
 func (h *HTTPSource) watch(ctx context.Context) {
-	backoff := reconcile.NewDialBackoff(uint64(time.Now().UnixNano()))
+	backoff := reconcile.NewDialBackoff(uint64(time.Now().UnixNano()), h.MaxRetryInterval)
 	first := true
 	for ctx.Err() == nil {
 		err := h.poll(ctx, first)
--- a/internal/reconcile/backoff.go
+++ b/internal/reconcile/backoff.go
@@ -1,6 +1,10 @@
 package reconcile
 
-import "cressknot/internal/fleet"
+import (
+	"cmp"
+
+	"cressknot/internal/fleet"
+)
 
 // Timeouts of transports. They are defined here because decisions belong to the reconciler, not to transports.
 const (
@@ -17,7 +21,7 @@
 // Delays between connection attempts.
 const (
 	initialDialDelay = 100 * fleet.Millisecond // a restarted proxy listens again within this time
-	maxDialDelay     = 2 * fleet.Second        // longest time that a recovered proxy waits for its controller
+	maxDialDelay     = 2 * fleet.Second        // where the drain timeout allows longer ones
 	maxDialDoublings = 8
 	dialJitter       = 0.5 // random fraction of a delay, so that reconnections are spread over time
 )
@@ -25,6 +29,7 @@
 // DialBackoff computes the delays between connection attempts: exponential up to a maximum, with jitter from a
 // multiply-with-carry generator. It is not safe for concurrent use.
 type DialBackoff struct {
+	maxDelay fleet.Time
 	failures int
 	x, carry uint32 // state of the generator
 }
@@ -32,9 +37,15 @@
 // generatorMultiplier yields the full period of a 32-bit multiply-with-carry generator.
 const generatorMultiplier = 4294957665
 
-// NewDialBackoff returns a backoff whose jitter is determined by the seed.
-func NewDialBackoff(seed uint64) DialBackoff {
-	return DialBackoff{x: uint32(seed) | 1, carry: uint32(seed>>33) | 1}
+// NewDialBackoff returns a backoff whose jitter is determined by the seed. A delay is at most maxDelay, which is what the
+// drain timeout allows, see balancer.MaxRetryInterval: a peer that is back waits for its controller for that long. 0
+// sets no such bound.
+func NewDialBackoff(seed uint64, maxDelay fleet.Time) DialBackoff {
+	return DialBackoff{
+		maxDelay: min(maxDialDelay, cmp.Or(maxDelay, maxDialDelay)),
+		x:        uint32(seed) | 1,
+		carry:    uint32(seed>>33) | 1,
+	}
 }
 
 // Next returns the delay before the next attempt and counts that attempt as a failure until Reset is called.
@@ -42,7 +53,7 @@
 	product := generatorMultiplier*uint64(b.x) + uint64(b.carry)
 	b.x = uint32(product)
 	b.carry = uint32(product >> 32)
-	delay := min(maxDialDelay, initialDialDelay<<min(b.failures, maxDialDoublings))
+	delay := min(b.maxDelay, initialDialDelay<<min(b.failures, maxDialDoublings))
 	b.failures++
 	return delay.Scale(1 - dialJitter*float64(b.x)/(1<<32))
 }
--- a/internal/server/controller.go
+++ b/internal/server/controller.go
@@ -124,7 +124,7 @@
 		Core:             p.core,
 		Names:            p.names,
 		Transport:        newTransport(s, p.site, p.proxies, p.names),
-		Source:           newEndpointSource(s),
+		Source:           newEndpointSource(s, &p.site),
 		Log:              p.log,
 		CachePath:        s.List.CachePath,
 		ProbePath:        s.Reports.ProbePath,
--- a/internal/server/controller_build.go
+++ b/internal/server/controller_build.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"cressknot/internal/balancer"
 	"cressknot/internal/config"
 	"cressknot/internal/controller"
 	"cressknot/internal/discovery"
@@ -48,9 +49,14 @@
 }
 
 // newEndpointSource returns the source of the endpoint list that the settings select.
-func newEndpointSource(s *config.Settings) discovery.EndpointSource {
+func newEndpointSource(s *config.Settings, site *fleet.Site) discovery.EndpointSource {
 	if s.List.Source == "http" {
-		return &discovery.HTTPSource{URL: s.List.URL, Wait: fleet.Time(s.List.LongPollTimeout), OnRequest: s.List.OnRequest}
+		return &discovery.HTTPSource{
+			URL:              s.List.URL,
+			Wait:             fleet.Time(s.List.LongPollTimeout),
+			OnRequest:        s.List.OnRequest,
+			MaxRetryInterval: balancer.MaxRetryInterval(site),
+		}
 	}
 	return &discovery.FileSource{Path: s.List.Path, OnRequest: s.List.OnRequest}
 }
@@ -62,21 +68,23 @@
 ) transport.Transport {
 	if s.Transport.Kind != "runtime" {
 		return files.New(files.Options{
-			Proxies:   proxies,
-			Classes:   s.TransportClasses(),
-			Admission: site.Admission,
-			Names:     names,
+			Proxies:          proxies,
+			Classes:          s.TransportClasses(),
+			Admission:        site.Admission,
+			Names:            names,
+			MaxRetryInterval: balancer.MaxRetryInterval(&site),
 		})
 	}
 	o := haproxy.Options{
-		Proxies:    proxies,
-		Classes:    s.TransportClasses(),
-		Map:        s.Transport.Map,
-		Table:      s.Transport.Table,
-		Admission:  site.Admission,
-		Names:      names,
-		Controller: s.Name,
-		Clock:      func() fleet.Time { return fleet.Time(time.Now().UnixNano()) },
+		Proxies:          proxies,
+		Classes:          s.TransportClasses(),
+		Map:              s.Transport.Map,
+		Table:            s.Transport.Table,
+		Admission:        site.Admission,
+		Names:            names,
+		Controller:       s.Name,
+		Clock:            func() fleet.Time { return fleet.Time(time.Now().UnixNano()) },
+		MaxRetryInterval: balancer.MaxRetryInterval(&site),
 	}
 	if len(s.Sharing.Controllers) > 0 {
 		plan := lease.Plan(s.ProxyLoads(), s.Sharing.Controllers)
--- a/internal/server/platform.go
+++ b/internal/server/platform.go
@@ -16,6 +16,7 @@
 
 	"github.com/rs/zerolog"
 
+	"cressknot/internal/balancer"
 	"cressknot/internal/clock"
 	"cressknot/internal/config"
 	"cressknot/internal/discovery"
@@ -117,14 +118,15 @@
 		loopDone:  make(chan struct{}),
 	}
 	s.relay = relay.New(relay.Options{
-		Addr:          settings.RelayAddr,
-		Zones:         settings.Site.Zones,
-		Classes:       settings.ClassNames(),
-		ProxyCount:    settings.Site.ProxyCount,
-		OnEvent:       s.handleRelayEvent,
-		OnUnconfirmed: s.handleUnconfirmed,
-		Log:           log,
-		Seed:          settings.Seed,
+		Addr:             settings.RelayAddr,
+		Zones:            settings.Site.Zones,
+		Classes:          settings.ClassNames(),
+		ProxyCount:       settings.Site.ProxyCount,
+		OnEvent:          s.handleRelayEvent,
+		OnUnconfirmed:    s.handleUnconfirmed,
+		Log:              log,
+		Seed:             settings.Seed,
+		MaxRetryInterval: balancer.MaxRetryInterval(&settings.Site),
 	})
 	s.endpoints = &discovery.PlatformSource{
 		Addr:     settings.DiscoveryAddr,
--- a/internal/transport/files/transport.go
+++ b/internal/transport/files/transport.go
@@ -34,6 +34,8 @@
 	Classes   []transport.Class
 	Admission fleet.AdmissionMode
 	Names     transport.ServerNames
+	// MaxRetryInterval is the longest delay between two attempts to write the files of a proxy.
+	MaxRetryInterval fleet.Time
 	// Fault, set in tests only, is called before each step of replacing a file (0 to 4: create, write, sync, rename,
 	// sync the folder). An error makes the step fail, as on a full disk; ErrSimulatedCrash simulates a crash.
 	Fault func(path string, step int) error
@@ -76,7 +78,7 @@
 			proxy:       proxy,
 			path:        filepath.Clean(proxy.Addr),
 			lastWritten: map[string][]byte{},
-			backoff:     reconcile.NewDialBackoff(maphash.String(seed, proxy.Name)),
+			backoff:     reconcile.NewDialBackoff(maphash.String(seed, proxy.Name), options.MaxRetryInterval),
 		}
 		t.folders[f.path] = f
 		t.byProxy[proxy.ID] = f
--- a/internal/transport/haproxy/transport.go
+++ b/internal/transport/haproxy/transport.go
@@ -40,6 +40,8 @@
 	Admission fleet.AdmissionMode
 	Names     transport.ServerNames
 	Pollers   int // number of event loops; 0: the default of nbio
+	// MaxRetryInterval is the longest delay between two attempts to connect to a proxy.
+	MaxRetryInterval fleet.Time
 
 	// Controller is the name of this controller in leases. It is unused without Lease.
 	Controller string
@@ -93,7 +95,7 @@
 			transport:    t,
 			proxy:        proxy,
 			sessionEnded: make(chan struct{}, 1),
-			backoff:      reconcile.NewDialBackoff(maphash.String(maphash.MakeSeed(), proxy.Name)),
+			backoff:      reconcile.NewDialBackoff(maphash.String(maphash.MakeSeed(), proxy.Name), options.MaxRetryInterval),
 		}
 		if options.Lease != nil {
 			l.lease = options.Lease(proxy)
--- a/internal/transport/relay/client.go
+++ b/internal/transport/relay/client.go
@@ -55,6 +55,8 @@
 	Log           zerolog.Logger
 	// Seed initialises the jitter of the backoff between streams.
 	Seed uint64
+	// MaxRetryInterval is the longest delay between two attempts to open a stream.
+	MaxRetryInterval fleet.Time
 }
 
 // Client sends operations to one relay and reads its event stream. Its methods are safe for concurrent use, except that
--- a/internal/transport/relay/stream.go
+++ b/internal/transport/relay/stream.go
@@ -55,7 +55,7 @@
 		client:  client,
 		opened:  make(chan *stream),
 		ended:   make(chan streamEnd),
-		backoff: reconcile.NewDialBackoff(client.options.Seed),
+		backoff: reconcile.NewDialBackoff(client.options.Seed, client.options.MaxRetryInterval),
 	}
 }
 
