Bound attempts to connect to proxies and to the list service

Cause: a dial of a proxy had 2 s. A poll of the list service had no bound of its own but the 20 s of proxies' answers (40 s for a long poll), and the system sends SYN packets at 1, 3, 7 and 15 s, so that it found a network that was whole again up to as late as the cut had been long.

Change: both have 0.5 s to connect; name resolution is within it. Probes of servers keep their 2 s, under a name of their own.

A connection that is open as the network is cut still depends on the system's retransmission; see ROADMAP.

--- a/internal/controller/probes.go
+++ b/internal/controller/probes.go
@@ -29,7 +29,7 @@
 	VerifyByOutcomes   = "answers" // by the outcomes of proxies' requests, without contacting servers
 )
 
-// prober probes and verifies servers over the network. Each call takes at most reconcile.DialTimeout.
+// prober probes and verifies servers over the network. Each call takes at most reconcile.ProbeTimeout.
 type prober struct {
 	names            *ServerNames
 	path             string // of the probe URL
@@ -55,7 +55,7 @@
 func (p *prober) probe(ctx context.Context, id fleet.ServerID) ProbeResult {
 	_, addr := p.names.Lookup(id)
 	startedAt := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(reconcile.DialTimeout))
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(reconcile.ProbeTimeout))
 	defer cancel()
 	result := ProbeResult{Server: id}
 	response, err := p.get(ctx, addr)
@@ -80,7 +80,7 @@
 // the name of the server that sent it.
 func (p *prober) verify(ctx context.Context, id fleet.ServerID) VerificationResult {
 	name, addr := p.names.Lookup(id)
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(reconcile.DialTimeout))
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(reconcile.ProbeTimeout))
 	defer cancel()
 	result := VerificationResult{Server: id}
 	if p.verificationMode != VerifyByProbe {
--- a/internal/discovery/httpsource.go
+++ b/internal/discovery/httpsource.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -38,12 +39,24 @@
 	}
 	h.ctx = ctx
 	h.sink = sink
+	if h.client.Transport == nil {
+		h.client.Transport = newListTransport()
+	}
 	if !h.OnRequest {
 		h.startWatch(ctx)
 	}
 	return nil
 }
 
+// newListTransport returns the default HTTP transport with a bounded time to connect. Without the bound, the system
+// sends SYN packets at growing intervals, which last longer than an outage.
+func newListTransport() http.RoundTripper {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	dialer := net.Dialer{Timeout: time.Duration(reconcile.ConnectTimeout)}
+	transport.DialContext = dialer.DialContext
+	return transport
+}
+
 // Watch starts a watch, which replaces the running one, or ends the running one. After a failure a watch retries with a
 // backoff; if OnRequest is set, the failure ends the watch.
 func (h *HTTPSource) Watch(enabled bool) {
--- a/internal/reconcile/backoff.go
+++ b/internal/reconcile/backoff.go
@@ -8,8 +8,11 @@
 
 // Timeouts of transports. They are defined here because decisions belong to the reconciler, not to transports.
 const (
-	// DialTimeout bounds a connection attempt. On the same network, a proxy that needs longer is treated as down.
-	DialTimeout = 2 * fleet.Second
+	// ConnectTimeout bounds an attempt to connect to a proxy or to the list service. While the network is cut none
+	// succeeds, and one that began in the cut delays the next.
+	ConnectTimeout = 500 * fleet.Millisecond
+	// ProbeTimeout bounds a probe of a server, which includes its answer.
+	ProbeTimeout = 2 * fleet.Second
 	// AnswerTimeout bounds a poll or a readback of the proxy's state. It exceeds the duration of a proxy reload and
 	// of the longest stall.
 	AnswerTimeout = 20 * fleet.Second
@@ -37,9 +40,9 @@
 // generatorMultiplier yields the full period of a 32-bit multiply-with-carry generator.
 const generatorMultiplier = 4294957665
 
-// NewDialBackoff returns a backoff whose jitter is determined by the seed. A delay is at most maxDelay, which is what the
-// drain timeout allows, see balancer.MaxRetryInterval: a peer that is back waits for its controller for that long. 0
-// sets no such bound.
+// NewDialBackoff returns a backoff whose jitter is determined by the seed. A delay is at most maxDelay, which is what
+// the drain timeout allows, see balancer.MaxRetryInterval: a peer that is back waits for its controller for that long.
+// 0 sets no such bound.
 func NewDialBackoff(seed uint64, maxDelay fleet.Time) DialBackoff {
 	return DialBackoff{
 		maxDelay: min(maxDialDelay, cmp.Or(maxDelay, maxDialDelay)),
--- a/internal/transport/haproxy/link.go
+++ b/internal/transport/haproxy/link.go
@@ -61,7 +61,7 @@
 
 // connect dials the proxy and opens a session. If predecessor is not nil, the session completes its takeover.
 func (l *link) connect(predecessor *session) error {
-	dialer := net.Dialer{Timeout: time.Duration(reconcile.DialTimeout)}
+	dialer := net.Dialer{Timeout: time.Duration(reconcile.ConnectTimeout)}
 	conn, err := dialer.DialContext(l.transport.ctx, networkOf(l.proxy.Addr), l.proxy.Addr)
 	if err != nil {
 		return err
--- a/internal/transport/relay/outage_test.go
+++ b/internal/transport/relay/outage_test.go
@@ -55,7 +55,8 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			client.Start(ctx)
 			if wait := (<-opened).Sub(backAt); wait > time.Duration(maxRetryInterval) {
-				t.Errorf("seed %d: opened %v after the relay was back, want at most %v", seed, wait, time.Duration(maxRetryInterval))
+				t.Errorf("seed %d: opened %v after the relay was back, want at most %v",
+					seed, wait, time.Duration(maxRetryInterval))
 			}
 			cancel()
 			client.Wait()
