Retry a failed withdrawal within the drain timeout

Cause: changes that a proxy rejects for an unknown reason are resent after 1, 2, 4 ... 32 s, all items of the proxy together. A withdrawal that failed once waited for the time of items that had been failing for long.

Change: withdrawals have a queue of their own, resent at the interval that the drain timeout allows. Other items keep their backoff, which TestFailedChangeIsRetriedWithBackoff holds. Retries moved to a file of their own.

Measured: TestFailedWithdrawalIsRetriedWithinDrainTimeout: 24.0 s after the proxy worked again before, want within 2.8 s; holds now.

--- a/internal/reconcile/acknowledge.go
+++ b/internal/reconcile/acknowledge.go
@@ -6,12 +6,6 @@
 	"cressknot/internal/fleet"
 )
 
-// Bounds of the exponential backoff after a failure that does not tell the state of the proxy's entry.
-const (
-	initialRetryBackoff = fleet.Second
-	maxRetryBackoff     = 32 * fleet.Second
-)
-
 // RecordProgress records that a proxy has answered something, which restarts its stuck timeout. Unknown proxies are
 // ignored.
 func (r *Reconciler) RecordProgress(now fleet.Time, id fleet.ProxyID) {
@@ -40,8 +34,8 @@
 			r.handleFailure(now, proxy, message.changes[failure.Index], message.items[failure.Index], failure)
 		}
 	}
-	if len(failures) == 0 && len(proxy.failed) == 0 {
-		proxy.backoff = 0
+	if len(failures) == 0 && proxy.failed.empty() {
+		proxy.failed.backoff = 0
 	}
 	r.markAcknowledged(now, message) // its barrier is reported by Next
 	if len(proxy.inFlight) == 0 && r.safety != nil {
@@ -107,29 +101,3 @@
 	r.setSent(proxy, index, entry)
 	return resendLater
 }
-
-// scheduleRetry adds an item to the failed ones, with one notice per series of failures.
-func (r *Reconciler) scheduleRetry(now fleet.Time, proxy *proxyState, item itemKey, failure Failure) {
-	if proxy.backoff == 0 {
-		r.notify(Notice{Proxy: proxy.id, Text: "a change was not applied and will be retried with backoff: " + failure.Text})
-	}
-	if !slices.Contains(proxy.failed, item) {
-		proxy.failed = append(proxy.failed, item)
-	}
-	if proxy.retryAt == 0 {
-		proxy.backoff = min(maxRetryBackoff, max(initialRetryBackoff, 2*proxy.backoff))
-		proxy.retryAt = now + proxy.backoff
-	}
-}
-
-// retryFailed resends failed items once their backoff has expired.
-func (r *Reconciler) retryFailed(now fleet.Time, proxy *proxyState) {
-	if proxy.retryAt == 0 || now < proxy.retryAt {
-		return
-	}
-	proxy.retryAt = 0
-	for _, item := range proxy.failed {
-		r.markDirtyNow(proxy, item)
-	}
-	proxy.failed = proxy.failed[:0]
-}
--- a/internal/reconcile/acknowledge_test.go
+++ b/internal/reconcile/acknowledge_test.go
@@ -133,3 +133,39 @@
 		t.Errorf("%d deletions attempted, want 4: 2 refused and 2 successful", attempts)
 	}
 }
+
+// TestFailedWithdrawalIsRetriedWithinDrainTimeout guards against a drain that is missed after an outage of a proxy: the
+// backoff of changes that it rejects grows, and a withdrawal must not wait for it once the proxy works again.
+func TestFailedWithdrawalIsRetriedWithinDrainTimeout(t *testing.T) {
+	site := testSite()
+	site.DrainTimeout = 3 * fleet.Second
+	r, now := newSettledReconciler(t, site, 1, 3)
+	r.Apply(now, []fleet.Order{fleet.SetWeight{Server: 1, Weight: 0.9}})
+	var withdrawnAt fleet.Time
+	const rejectsUntil = 40 * fleet.Second // its backoff has reached 16 s
+	ordered := false
+	for now < 90*fleet.Second && withdrawnAt == 0 {
+		if !ordered && now > rejectsUntil-2*fleet.Second {
+			ordered = true
+			r.SetEndpoints(now, changeList(fleet.ServerDraining, 2))
+			r.Apply(now, []fleet.Order{fleet.WithdrawServer{Server: 2, Withdrawn: true}})
+		}
+		messages, _, _, _ := r.NextMessages(now)
+		for _, message := range messages {
+			var failures []Failure
+			for i, change := range message.Changes {
+				if now < rejectsUntil {
+					failures = append(failures, Failure{Index: i, Text: "Permission denied"})
+				} else if change.Server == 2 && change.State == StateDrain {
+					withdrawnAt = now
+				}
+			}
+			r.RecordAcknowledgement(now, message.Proxy, message.Sequence, failures)
+		}
+		now += 50 * fleet.Millisecond
+	}
+	if limit := rejectsUntil + site.DrainTimeout - site.MaxUpdateDelay; withdrawnAt == 0 || withdrawnAt > limit {
+		t.Errorf("withdrawn %.2f s after the proxy works again, want within %.2f s",
+			(withdrawnAt - rejectsUntil).Seconds(), (limit - rejectsUntil).Seconds())
+	}
+}
--- a/internal/reconcile/queue.go
+++ b/internal/reconcile/queue.go
@@ -109,7 +109,7 @@
 		r.retryFailed(now, proxy)
 		r.enqueueDeferred(now, proxy)
 		r.retryRefused(now, proxy)
-		if proxy.queuedCount == 0 && len(proxy.released) == 0 && proxy.retryAt == 0 && !proxy.deferred {
+		if proxy.queuedCount == 0 && len(proxy.released) == 0 && proxy.failed.empty() && !proxy.deferred {
 			// No message follows, so the next one carries all remaining items.
 			proxy.entryBudget = max(proxy.entryBudget, len(proxy.dirty))
 		}
@@ -218,7 +218,7 @@
 		wake = earlier(wake, now+max(fleet.Millisecond, wait))
 	}
 	for _, proxy := range r.proxyOrder {
-		wake = earlier(wake, proxy.retryAt)
+		wake = earlier(wake, proxy.failed.dueAt())
 		wake = earlier(wake, proxy.refusedRetryAt)
 		if len(proxy.inFlight) == 0 {
 			continue
--- a/internal/reconcile/reconciler.go
+++ b/internal/reconcile/reconciler.go
@@ -113,9 +113,7 @@
 	acknowledgeDelay fleet.Time // of the last acknowledged message
 
 	// Failed and refused items.
-	failed         []itemKey
-	retryAt        fleet.Time // when failed items are resent; 0: none
-	backoff        fleet.Time
+	failed         failedItems
 	refused        map[itemKey]string // reasons of the safety check
 	refusedRetryAt fleet.Time         // when refused items are proposed again; 0: none
 }
--- a/internal/reconcile/versions.go
+++ b/internal/reconcile/versions.go
@@ -145,7 +145,7 @@
 // appendVersionStamps adds to a message the table versions that the proxy reaches by applying it. It adds none while
 // further changes are pending, refused or failed.
 func (r *Reconciler) appendVersionStamps(proxy *proxyState, message *queuedMessage) {
-	if len(proxy.dirty) > 0 || len(proxy.refused) > 0 || len(proxy.failed) > 0 {
+	if len(proxy.dirty) > 0 || len(proxy.refused) > 0 || !proxy.failed.empty() {
 		return
 	}
 	for class := range proxy.versionStamps {
