Let clients find a recovered controller within the drain timeout

Cause: the client library waited up to 5 s between attempts, and an attempt that began in a cut of the network took the 2 s of the handshake. Until then a program uses its table, which may hold servers that have drained in the outage; drain timeouts are 2 s or more.

Change: the wait is at most 1 s, half of it random, and connecting takes at most 0.5 s (gRPC and text protocol); the handshake keeps its 2 s, as a busy controller may need them, and a wait that a controller asks for (RetryAfter) counts as before. Together 1.5 s.

--- a/client/picker.go
+++ b/client/picker.go
@@ -10,8 +10,10 @@
 const (
 	// minBackoff is the wait after the first failure of a controller; it doubles with each consecutive failure.
 	minBackoff = 100 * fleet.Millisecond
-	// maxBackoff bounds the wait, so that a controller that recovers after a long outage is found within this time.
-	maxBackoff = 5 * fleet.Second
+	// maxBackoff bounds the wait, so that a controller that recovers after a long outage is found within this time. With
+	// service.ClientDialTimeout it is less than the drain timeouts of deployments, which are 2 s or more: a client goes on
+	// with its table until then, which may hold servers that have drained since.
+	maxBackoff = fleet.Second
 	// maxBackoffDoublings bounds the shift of minBackoff against overflow.
 	maxBackoffDoublings = 8
 	// backoffJitter is the random fraction of each wait, so that clients do not reconnect all at once.
--- a/client/picker_test.go
+++ b/client/picker_test.go
@@ -60,3 +60,21 @@
 		}
 	}
 }
+
+// TestPickerFindsRecoveredControllerWithinDrainTimeout guards against a client that goes on with an old table after a
+// long outage: the wait for the next attempt, and one that began in the outage, must be shorter than the shortest drain
+// timeout of a deployment.
+func TestPickerFindsRecoveredControllerWithinDrainTimeout(t *testing.T) {
+	const shortestDrainTimeout = 2 * sec
+	for seed := range uint64(1000) {
+		picker := newControllerPicker(1, seed)
+		for failure := range 20 {
+			picker.recordFailure(0, 0, nil)
+			_, wait := picker.pick(0)
+			if sum := wait + fleet.Time(service.ClientDialTimeout); sum >= shortestDrainTimeout {
+				t.Fatalf("seed %d: %.2f s after failure %d, want less than %.2f s",
+					seed, sum.Seconds(), failure+1, shortestDrainTimeout.Seconds())
+			}
+		}
+	}
+}
--- a/client/rpc/rpc.go
+++ b/client/rpc/rpc.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
@@ -46,6 +47,7 @@
 			Timeout: service.PingTimeout,
 		}),
 		grpc.WithNoProxy(),
+		grpc.WithContextDialer(dial),
 	}
 	options = append(options, t.Options...)
 	grpcConn, err := grpc.NewClient("passthrough:///"+addr, options...)
@@ -55,6 +57,12 @@
 	return &conn{grpc: grpcConn, service: pb.NewGovernorClient(grpcConn), caller: caller}, nil
 }
 
+// dial connects to host:port within service.ClientDialTimeout.
+func dial(ctx context.Context, addr string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: service.ClientDialTimeout}
+	return dialer.DialContext(ctx, "tcp", addr)
+}
+
 // Close closes the connection. Calls in flight fail.
 func (c *conn) Close() error { return c.grpc.Close() }
 
--- a/client/runtime/stream.go
+++ b/client/runtime/stream.go
@@ -33,7 +33,7 @@
 	if strings.Contains(addr, "/") {
 		network = "unix"
 	}
-	var dialer net.Dialer
+	dialer := net.Dialer{Timeout: service.ClientDialTimeout}
 	conn, err := dialer.DialContext(ctx, network, addr)
 	if err != nil {
 		return nil, unreachableError(err)
--- a/internal/service/bounds.go
+++ b/internal/service/bounds.go
@@ -13,6 +13,9 @@
 	ConnectTimeout     = 10 * time.Second // for the connection handshake
 	IdleTimeout        = 10 * time.Minute // after which a connection without requests is closed
 	RequestTimeout     = 3 * time.Second  // for one request; longer than queryTimeout, so that the service answers first
-	PingInterval       = 5 * time.Second  // of silence before a keepalive ping; clients ping only while they have streams
-	PingTimeout        = 3 * time.Second  // for the answer to a ping, before the connection is closed
+	// ClientDialTimeout bounds an attempt of a client to connect to a controller, without the handshake. While the
+	// network is cut none succeeds, and one that began in the cut delays the next.
+	ClientDialTimeout = 500 * time.Millisecond
+	PingInterval      = 5 * time.Second // of silence before a keepalive ping; clients ping only while they have streams
+	PingTimeout       = 3 * time.Second // for the answer to a ping, before the connection is closed
 )
