Count the timer in the longest delay of a withdrawal

A message to all proxies had just gone; the next may follow after 0.67 s, and goes with the timer of 0.25 s.

Change: the wait for the next message counts 0.25 s more in the bound of the interval between requests.

--- a/internal/balancer/listrequests.go
+++ b/internal/balancer/listrequests.go
@@ -49,11 +49,12 @@
 	return interval
 }
 
-// maxWithdrawalDelay returns the longest time from the order of a withdrawal until proxies apply it, if ordinary
-// updates were sent just before it.
+// maxWithdrawalDelay returns the longest time from a list with a draining server until proxies apply the withdrawal, if
+// ordinary updates were sent just before. The withdrawal then waits for the next message to all proxies, which a timer
+// sends, while the channel delivers those updates.
 func maxWithdrawalDelay(site *fleet.Site) fleet.Time {
 	backlogSeconds := usableBacklogFraction * site.MaxBacklog / max(epsilon, site.EntriesPerSecond)
-	return max(broadcastInterval(site), fleet.Second.Scale(backlogSeconds)) + site.MaxUpdateDelay
+	return max(broadcastInterval(site)+timerInterval, fleet.Second.Scale(backlogSeconds)) + site.MaxUpdateDelay
 }
 
 // isListRequestDue reports whether the endpoint list is to be requested in this step.
