Play starts of a controller in an outage of discovery

Need: a controller that starts while discovery is away uses the list of its configuration and the same requests; no play covered it.

--- a/internal/discovery/outage_test.go
+++ b/internal/discovery/outage_test.go
@@ -269,7 +269,8 @@
 	return plays
 }
 
-// randomPlay draws an outage with one controller. Half of them begin with the drain, which leaves the least time.
+// randomPlay draws an outage with one controller. Half of them begin with the drain, which leaves the least time. In a
+// quarter the controller starts in the outage, with a list from before.
 func randomPlay(random *rand.Rand) outagePlay {
 	drainTimeout := time.Duration(2000+random.IntN(2001)) * time.Millisecond
 	play := outagePlay{
@@ -285,6 +286,10 @@
 	if random.IntN(2) == 0 {
 		play.drainAfter = time.Duration(random.Int64N(int64(play.lasts)))
 	}
+	if random.IntN(4) == 0 {
+		play.beginsAt = 0
+		play.startSpread = play.lasts
+	}
 	return play
 }
 
