--- a/internal/discovery/filesource_test.go
+++ b/internal/discovery/filesource_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"cressknot/internal/fleet"
+	"cressknot/internal/testing/await"
 )
 
 // replaceListFile atomically replaces the file by a list of one endpoint.
@@ -29,18 +30,18 @@
 	path := filepath.Join(t.TempDir(), "servers.json")
 	replaceListFile(t, path, 1)
 	updates := startSource(t, &FileSource{Path: path})
-	if update := receive(t, updates); update.List.Revision != 1 || update.Scope != fleet.ListFull {
+	if update := await.Receive(t, updates); update.List.Revision != 1 || update.Scope != fleet.ListFull {
 		t.Fatalf("%+v", update)
 	}
 	replaceListFile(t, path, 2)
-	for receive(t, updates).List.Revision != 2 {
+	for await.Receive(t, updates).List.Revision != 2 {
 	}
 	if err := os.WriteFile(path, []byte(`{"rev": 3, "serv`), 0o644); err != nil {
 		t.Fatal(err)
 	}
-	update := receive(t, updates)
+	update := await.Receive(t, updates)
 	for update.Err == nil {
-		update = receive(t, updates)
+		update = await.Receive(t, updates)
 	}
 	if update.Scope != fleet.ListFailed || !strings.Contains(update.Err.Error(), "servers.json") {
 		t.Errorf("%+v", update)
--- a/internal/discovery/httpconnect_test.go
+++ b/internal/discovery/httpconnect_test.go
@@ -6,6 +6,7 @@
 
 	"cressknot/internal/fleet"
 	"cressknot/internal/reconcile"
+	"cressknot/internal/testing/await"
 	"cressknot/internal/testing/fakes"
 )
 
@@ -21,7 +22,7 @@
 	updates := startSource(t, source)
 	began := time.Now()
 	source.Watch(true)
-	update := receive(t, updates)
+	update := await.Receive(t, updates)
 	took := time.Since(began)
 	const limit = time.Duration(reconcile.ConnectTimeout) + 3*time.Second // the machine may be busy
 	if update.Scope != fleet.ListFailed || took > limit {
--- a/internal/discovery/httpoutage_test.go
+++ b/internal/discovery/httpoutage_test.go
@@ -5,21 +5,16 @@
 	"io"
 	"net/http"
 	"strings"
-	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"cressknot/internal/fleet"
+	"cressknot/internal/testing/fakes"
 )
 
-// downUntil is a list service that refuses connections until a time and then answers each poll at once.
-type downUntil struct{ time.Time }
-
-func (d downUntil) RoundTrip(request *http.Request) (*http.Response, error) {
-	if time.Now().Before(d.Time) {
-		return nil, syscall.ECONNREFUSED
-	}
+// servePoll answers a poll at once with revision 2, and holds further polls.
+func servePoll(request *http.Request) (*http.Response, error) {
 	if request.URL.Query().Get("rev") == "2" {
 		<-request.Context().Done()
 		return nil, request.Context().Err()
@@ -38,7 +33,7 @@
 			backAt := time.Now().Add(time.Duration(1000+100*play) * time.Millisecond)
 			listed := make(chan time.Time, 1)
 			source := &HTTPSource{URL: "http://list:1/", Wait: 20 * fleet.Second, MaxRetryInterval: maxRetryInterval}
-			source.client.Transport = downUntil{backAt}
+			source.client.Transport = &fakes.RecoveringTransport{BackAt: backAt, Serve: servePoll}
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			err := source.Start(ctx, func(update Update) {
--- a/internal/discovery/httpsource_test.go
+++ b/internal/discovery/httpsource_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"cressknot/internal/fleet"
+	"cressknot/internal/testing/await"
 )
 
 // fakeListService serves revision 1 of a list at once, and revision 2 after an element was sent to changed.
@@ -54,7 +55,7 @@
 func expectChange(t *testing.T, service *fakeListService, updates chan Update) {
 	t.Helper()
 	service.changed <- struct{}{}
-	if update := receive(t, updates); update.Scope != fleet.ListDelta || update.List.Endpoints[0].State != "gone" {
+	if update := await.Receive(t, updates); update.Scope != fleet.ListDelta || update.List.Endpoints[0].State != "gone" {
 		t.Fatalf("%+v, want a delta in which b is gone", update)
 	}
 }
@@ -64,13 +65,13 @@
 	service.down.Store(true)
 	source := service.source(false)
 	updates := startSource(t, source)
-	update := receive(t, updates)
+	update := await.Receive(t, updates)
 	if update.Scope != fleet.ListFailed {
 		t.Fatalf("%+v, want a failure", update)
 	}
 	service.down.Store(false)
 	for update.Scope == fleet.ListFailed {
-		update = receive(t, updates)
+		update = await.Receive(t, updates)
 	}
 	if update.Scope != fleet.ListFull || len(update.List.Endpoints) != 2 {
 		t.Fatalf("%+v, want the complete list", update)
@@ -85,13 +86,13 @@
 	source := service.source(true)
 	updates := startSource(t, source)
 	source.Watch(true)
-	if update := receive(t, updates); update.Scope != fleet.ListFailed {
+	if update := await.Receive(t, updates); update.Scope != fleet.ListFailed {
 		t.Fatalf("%+v, want a failure", update)
 	}
 	service.down.Store(false)
 	before := service.requests.Load()
 	source.Watch(true)
-	update := receive(t, updates)
+	update := await.Receive(t, updates)
 	requests := service.requests.Load() - before // the next poll may have started
 	if update.Scope != fleet.ListFull || requests != 1 && requests != 2 {
 		t.Fatalf("%+v after %d requests, want a complete list after 1 or 2", update, requests)
--- a/internal/discovery/platform_test.go
+++ b/internal/discovery/platform_test.go
@@ -7,12 +7,13 @@
 	"time"
 
 	"cressknot/internal/fleet"
+	"cressknot/internal/testing/await"
 )
 
 // expectUpdate checks that the next update has the scope and the revision, and an error only if it is a failure.
 func expectUpdate(t *testing.T, updates chan Update, scope fleet.ListScope, revision uint64) {
 	t.Helper()
-	update := receive(t, updates)
+	update := await.Receive(t, updates)
 	failed := scope == fleet.ListFailed
 	if update.Unchanged || update.Scope != scope || update.List.Revision != revision || (update.Err != nil) != failed {
 		t.Fatalf("%+v, want scope %v and revision %d", update, scope, revision)
@@ -25,11 +26,11 @@
 	updates := startSource(t, source)
 
 	source.Watch(true)
-	receive(t, service.watches).lines <- rejectWatch
+	await.Receive(t, service.watches).lines <- rejectWatch
 	expectUpdate(t, updates, fleet.ListFailed, 0)
 
 	source.Watch(true)
-	watch := receive(t, service.watches)
+	watch := await.Receive(t, service.watches)
 	if watch.query != "watch=1&after=40" {
 		t.Errorf("query %s", watch.query)
 	}
@@ -44,7 +45,7 @@
 	expectUpdate(t, updates, fleet.ListFailed, 0)
 
 	source.Watch(true)
-	receive(t, service.watches).lines <- listText(42, true) + "\n"
+	await.Receive(t, service.watches).lines <- listText(42, true) + "\n"
 	expectUpdate(t, updates, fleet.ListFull, 42)
 	source.Fetch()
 	expectUpdate(t, updates, fleet.ListFull, 50)
@@ -55,19 +56,19 @@
 	source := service.source()
 	updates := startSource(t, source)
 	source.Watch(true)
-	watch := receive(t, service.watches)
+	watch := await.Receive(t, service.watches)
 	watch.lines <- listText(42, true) + "\n"
 	expectUpdate(t, updates, fleet.ListFull, 42)
 
 	source.SetAddress(moved.addr())
-	newWatch := receive(t, moved.watches)
+	newWatch := await.Receive(t, moved.watches)
 	if newWatch.query != "watch=1&after=42" {
 		t.Errorf("query %s", newWatch.query)
 	}
 	watch.lines <- listText(43, false) + "\n"
 	expectUpdate(t, updates, fleet.ListDelta, 43)
 	newWatch.lines <- listText(43, false) + "\n" // already delivered
-	if update := receive(t, updates); !update.Unchanged {
+	if update := await.Receive(t, updates); !update.Unchanged {
 		t.Errorf("delivered twice: %+v", update)
 	}
 	newWatch.lines <- listText(44, false) + "\n"
@@ -83,10 +84,10 @@
 	source := &PlatformSource{Addr: service.addr(), lineTimeout: 300 * time.Millisecond}
 	updates := startSource(t, source)
 	source.Watch(true)
-	sendUntilUpdate(t, receive(t, service.watches), updates)
+	sendUntilUpdate(t, await.Receive(t, service.watches), updates)
 	source.Watch(true)
-	receive(t, service.watches).lines <- heartbeatLine
-	if update := receive(t, updates); update.Scope != fleet.ListDelta || len(updates) > 0 {
+	await.Receive(t, service.watches).lines <- heartbeatLine
+	if update := await.Receive(t, updates); update.Scope != fleet.ListDelta || len(updates) > 0 {
 		t.Errorf("%+v and %d further updates, want one empty delta", update, len(updates))
 	}
 }
@@ -117,15 +118,15 @@
 	source := service.source()
 	updates := startSource(t, source)
 	source.Watch(true)
-	watch := receive(t, service.watches)
+	watch := await.Receive(t, service.watches)
 	watch.lines <- listText(41, true) + "\n"
 	expectUpdate(t, updates, fleet.ListFull, 41)
 	source.Fetch()
-	receive(t, service.fetched)
+	await.Receive(t, service.fetched)
 	watch.lines <- listText(42, false) + "\n"
 	expectUpdate(t, updates, fleet.ListDelta, 42)
 	service.fetches <- listText(41, true, targetText("s-1", "in_service", 0))
-	update := receive(t, updates)
+	update := await.Receive(t, updates)
 	if update.Scope != fleet.ListDelta || update.List.Revision != 42 || len(update.List.Endpoints) > 0 {
 		t.Errorf("%+v, want an empty delta", update)
 	}
@@ -137,11 +138,11 @@
 	source := &PlatformSource{Addr: service.addr(), OnError: func(err error) { failures <- err }}
 	updates := startSource(t, source)
 	source.Watch(true)
-	watch := receive(t, service.watches)
+	watch := await.Receive(t, service.watches)
 	watch.lines <- listText(1, true) + "\n"
-	receive(t, updates)
+	await.Receive(t, updates)
 	source.SetAddress("127.0.0.1:1")
-	if err := receive(t, failures); err == nil || errors.Is(err, context.Canceled) {
+	if err := await.Receive(t, failures); err == nil || errors.Is(err, context.Canceled) {
 		t.Error(err)
 	}
 	watch.lines <- listText(2, false) + "\n"
--- a/internal/discovery/transcript_test.go
+++ b/internal/discovery/transcript_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cressknot/internal/fleet"
+	"cressknot/internal/testing/await"
 )
 
 // Guards the bytes of the requests for a watch and for the complete list, and the endpoints that a list is decoded to.
@@ -45,17 +46,17 @@
 		Weight:  1.5,
 	}}}}
 	source.Watch(true)
-	if got := receive(t, requests); got != "GET /v1/endpoints?watch=1&after=40 HTTP/1.1" {
+	if got := await.Receive(t, requests); got != "GET /v1/endpoints?watch=1&after=40 HTTP/1.1" {
 		t.Errorf("request for a watch: %q", got)
 	}
-	if got := receive(t, updates); !reflect.DeepEqual(got, want) {
+	if got := await.Receive(t, updates); !reflect.DeepEqual(got, want) {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 	source.Fetch()
-	if got := receive(t, requests); got != "GET /v1/endpoints HTTP/1.1" {
+	if got := await.Receive(t, requests); got != "GET /v1/endpoints HTTP/1.1" {
 		t.Errorf("request for the complete list: %q", got)
 	}
-	if got := receive(t, updates); !reflect.DeepEqual(got, want) {
+	if got := await.Receive(t, updates); !reflect.DeepEqual(got, want) {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 }
--- a/internal/discovery/updates_test.go
+++ b/internal/discovery/updates_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"time"
 )
 
 // startSource starts a source, which runs until the end of the test, and returns a channel with its updates.
@@ -17,15 +16,3 @@
 	}
 	return updates
 }
-
-// receive returns the next element of the channel. It ends the test if none arrives within 20 s.
-func receive[T any](t *testing.T, from <-chan T) T {
-	t.Helper()
-	select {
-	case element := <-from:
-		return element
-	case <-time.After(20 * time.Second):
-		t.Fatal("no element received within 20 s")
-		panic("unreachable")
-	}
-}
--- a/internal/ingest/main_test.go
+++ b/internal/ingest/main_test.go
@@ -1,20 +1,10 @@
 package ingest
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"cressknot/internal/testing/properties"
 )
 
-// TestMain sets defaults for the flags of the property tests, so that runs are reproducible.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	set := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "7", "rapid.checks": "400", "rapid.nofailfile": "true"} {
-		if !set[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of property tests, so that CI results are reproducible.
+func TestMain(m *testing.M) { properties.RunFixed(m, 7, 400) }
--- a/internal/platform/controller_test.go
+++ b/internal/platform/controller_test.go
@@ -10,38 +10,12 @@
 	"cressknot/internal/discovery"
 	"cressknot/internal/fleet"
 	"cressknot/internal/ingest/collector"
+	"cressknot/internal/testing/sites"
 	"cressknot/internal/transport/relay"
 )
 
 const startTime = 1_700_000_000 * fleet.Second
 
-func testSite() fleet.Site {
-	return fleet.Site{
-		Zones:         []string{"a", "b"},
-		Kinds:         []string{"m"},
-		Controllers:   1,
-		ProxyCount:    8,
-		ListOnRequest: true,
-		Classes: []fleet.RequestClass{
-			{Name: "look", LatencyObjective: fleet.Second, Deadline: 2 * fleet.Second, PriorityWeight: 1},
-		},
-		LoadReports:         fleet.LoadReportInline,
-		LoadFields:          []fleet.LoadField{fleet.LoadFieldUtilization},
-		ReportInterval:      fleet.Second,
-		ReportsPerSecond:    500,
-		EntriesPerSecond:    15000,
-		MessageOverhead:     6,
-		MaxBacklog:          30000,
-		MaxMessages:         20,
-		MessageWindow:       10 * fleet.Second,
-		MaxUnservedDuration: 5 * fleet.Second,
-		SlowStart:           fleet.SlowStart{InitialFraction: 0.2, Duration: 5 * fleet.Second},
-		RecoveryRamp:        fleet.RecoveryRamp{OverloadFactor: 4, Duration: 2 * fleet.Second},
-		DrainTimeout:        3 * fleet.Second,
-		MaxPollInterval:     10 * fleet.Second,
-	}
-}
-
 // harness drives a controller with a simulated clock.
 type harness struct {
 	controller *Controller
@@ -55,7 +29,7 @@
 	for _, name := range servers {
 		known.Endpoints = append(known.Endpoints, testEndpoint(name, ""))
 	}
-	return &harness{controller: NewController(testSite(), 1, known), now: startTime}
+	return &harness{controller: NewController(sites.Platform(), 1, known), now: startTime}
 }
 
 // run steps the controller with a batch, then once for each due timer until the duration has passed. It returns the
--- a/internal/reconcile/helpers_test.go
+++ b/internal/reconcile/helpers_test.go
@@ -1,27 +1,15 @@
 package reconcile
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 
 	"cressknot/internal/fleet"
+	"cressknot/internal/testing/properties"
 )
 
-// TestMain fixes the seed of property tests, so that CI results are reproducible. The flags -rapid.seed and
-// -rapid.checks override it.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	set := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "7", "rapid.checks": "400", "rapid.nofailfile": "true"} {
-		if !set[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of property tests, so that CI results are reproducible.
+func TestMain(m *testing.M) { properties.RunFixed(m, 7, 400) }
 
 func testSite() fleet.Site {
 	return fleet.Site{
--- a/internal/tableversion/helpers_test.go
+++ b/internal/tableversion/helpers_test.go
@@ -1,27 +1,15 @@
 package tableversion
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 
 	"cressknot/internal/fleet"
+	"cressknot/internal/testing/properties"
 )
 
-// TestMain fixes the seed and number of checks, so that each CI run has the same result. The flags -rapid.seed and
-// -rapid.checks override them.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	set := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "5", "rapid.checks": "3000", "rapid.nofailfile": "true"} {
-		if !set[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of property tests, so that CI results are reproducible.
+func TestMain(m *testing.M) { properties.RunFixed(m, 5, 3000) }
 
 func serverName(id fleet.ServerID) string { return fmt.Sprint("n", id) }
 
--- a/internal/transport/relay/calls_test.go
+++ b/internal/transport/relay/calls_test.go
@@ -8,18 +8,19 @@
 	"github.com/rs/zerolog"
 
 	"cressknot/internal/fleet"
+	"cressknot/internal/testing/await"
 )
 
 func expectCall(t *testing.T, r *fakeRelay, answer, operations string) {
 	t.Helper()
-	if got, want := receive(t, r.calls), answer+": "+operations; got != want {
+	if got, want := await.Receive(t, r.calls), answer+": "+operations; got != want {
 		t.Errorf("call %q, want %q", got, want)
 	}
 }
 
 func expectUnconfirmed(t *testing.T, from chan Unconfirmed, want Operation) {
 	t.Helper()
-	if got := receive(t, from); fmt.Sprint(got.Operations) != fmt.Sprint([]Operation{want}) {
+	if got := await.Receive(t, from); fmt.Sprint(got.Operations) != fmt.Sprint([]Operation{want}) {
 		t.Errorf("unconfirmed operations %v, want only %v", got.Operations, want)
 	}
 }
--- a/internal/transport/relay/fakerelay_test.go
+++ b/internal/transport/relay/fakerelay_test.go
@@ -7,7 +7,8 @@
 	"net/http/httptest"
 	"sync"
 	"testing"
-	"time"
+
+	"cressknot/internal/testing/await"
 
 	"github.com/rs/zerolog"
 )
@@ -117,7 +118,7 @@
 // openStream waits for a stream and sends a complete snapshot of the given proxies on it.
 func (r *fakeRelay) openStream(t *testing.T, joined ...int) chan string {
 	t.Helper()
-	texts := receive(t, r.streams)
+	texts := await.Receive(t, r.streams)
 	for _, proxy := range joined {
 		texts <- joinedText(proxy)
 	}
@@ -159,15 +160,3 @@
 		client.Wait()
 	})
 }
-
-// receive receives one element, or fails the test after 20 s.
-func receive[T any](t *testing.T, from <-chan T) T {
-	t.Helper()
-	select {
-	case element := <-from:
-		return element
-	case <-time.After(20 * time.Second):
-		t.Fatal("nothing received within 20 s")
-		panic("unreachable")
-	}
-}
--- a/internal/transport/relay/outage_test.go
+++ b/internal/transport/relay/outage_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,15 +12,11 @@
 	"github.com/rs/zerolog"
 
 	"cressknot/internal/fleet"
+	"cressknot/internal/testing/fakes"
 )
 
-// downUntil is a relay that refuses connections until a time and then serves an event stream.
-type downUntil struct{ time.Time }
-
-func (d downUntil) RoundTrip(request *http.Request) (*http.Response, error) {
-	if time.Now().Before(d.Time) {
-		return nil, syscall.ECONNREFUSED
-	}
+// serveStream answers a request for the event stream with one proxy, and keeps the stream open.
+func serveStream(request *http.Request) (*http.Response, error) {
 	reader, writer := io.Pipe()
 	go func() {
 		_, _ = io.Copy(writer, strings.NewReader("event: joined\ndata: node=1&locality=a&w=5&cold=1\n\n:\n"))
@@ -51,7 +46,7 @@
 					}
 				},
 			})
-			client.streamClient.Transport = downUntil{backAt}
+			client.streamClient.Transport = &fakes.RecoveringTransport{BackAt: backAt, Serve: serveStream}
 			ctx, cancel := context.WithCancel(context.Background())
 			client.Start(ctx)
 			if wait := (<-opened).Sub(backAt); wait > time.Duration(maxRetryInterval) {
--- a/internal/transport/relay/stream_test.go
+++ b/internal/transport/relay/stream_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cressknot/internal/fleet"
+	"cressknot/internal/testing/await"
 )
 
 // expectSnapshot expects a stream to open that is not continuous, with a snapshot of the given number of proxies.
@@ -16,7 +17,7 @@
 		want = append(want, ProxyEvent)
 	}
 	for _, kind := range append(want, SnapshotComplete) {
-		if e := receive(t, events); e.Kind != kind || e.Stream != stream || e.Continuous {
+		if e := await.Receive(t, events); e.Kind != kind || e.Stream != stream || e.Continuous {
 			t.Fatalf("got event %+v, want kind %v of stream %d, not continuous", e, kind, stream)
 		}
 	}
@@ -25,7 +26,7 @@
 // expectOpened expects a stream to open.
 func expectOpened(t *testing.T, events chan StreamEvent, stream uint64, continuous bool) {
 	t.Helper()
-	e := receive(t, events)
+	e := await.Receive(t, events)
 	if e.Kind != StreamOpened || e.Stream != stream || e.Continuous != continuous {
 		t.Fatalf("got event %+v, want stream %d opened, continuous %v", e, stream, continuous)
 	}
@@ -33,7 +34,7 @@
 
 func expectLeft(t *testing.T, events chan StreamEvent, stream uint64) {
 	t.Helper()
-	e := receive(t, events)
+	e := await.Receive(t, events)
 	if e.Kind != ProxyEvent || e.Stream != stream || e.Event != (fleet.ProxyLeft{Proxy: 1}) {
 		t.Fatalf("got event %+v, want proxy 1 left on stream %d", e, stream)
 	}
@@ -52,7 +53,7 @@
 	second := old.openStream(t, 1)
 	expectSnapshot(t, events, 2, 1)
 	client.SetAddress(moved.addr())
-	third := receive(t, moved.streams)
+	third := await.Receive(t, moved.streams)
 	second <- leftText
 	expectLeft(t, events, 2)
 	expectOpened(t, events, 3, true)
@@ -75,7 +76,7 @@
 			first := old.openStream(t, 1)
 			expectSnapshot(t, events, 1, 1)
 			client.SetAddress(moved.addr())
-			receive(t, moved.streams)
+			await.Receive(t, moved.streams)
 			awaitStreams(t, client, 2)
 			first <- test.last
 			expectOpened(t, events, 2, test.continuous)
@@ -100,15 +101,15 @@
 func TestSnapshotIsCompletedByAHeartbeatOnly(t *testing.T) {
 	relay := newFakeRelay(t)
 	_, events, _ := startClient(t, relay)
-	texts := receive(t, relay.streams)
+	texts := await.Receive(t, relay.streams)
 	texts <- joinedText(1)
 	texts <- "event: joined\ndata: node=2&loc"
 	close(texts)
-	texts = receive(t, relay.streams)
+	texts = await.Receive(t, relay.streams)
 	texts <- joinedText(1)
 	var got []string
 	for range 4 {
-		e := receive(t, events)
+		e := await.Receive(t, events)
 		got = append(got, fmt.Sprint(e.Stream, e.Kind))
 	}
 	if fmt.Sprint(got) != "[1 opened 1 event 2 opened 2 event]" {
@@ -120,7 +121,7 @@
 	case <-time.After(1200 * time.Millisecond): // longer than the relay's heartbeat interval of 1 s
 	}
 	texts <- heartbeatText
-	if e := receive(t, events); e.Kind != SnapshotComplete || e.Stream != 2 {
+	if e := await.Receive(t, events); e.Kind != SnapshotComplete || e.Stream != 2 {
 		t.Errorf("got event %+v, want the snapshot of stream 2 complete", e)
 	}
 }
@@ -133,9 +134,9 @@
 	first := old.openStream(t)
 	expectSnapshot(t, events, 1, 0)
 	client.SetAddress(skipped.addr())
-	receive(t, skipped.streams)
+	await.Receive(t, skipped.streams)
 	client.SetAddress(last.addr())
-	receive(t, last.streams)
+	await.Receive(t, last.streams)
 	first <- leftText
 	expectLeft(t, events, 1)
 	expectOpened(t, events, 3, true)
--- a/internal/transport/relay/transcript_test.go
+++ b/internal/transport/relay/transcript_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"cressknot/internal/fleet"
+	"cressknot/internal/testing/await"
 )
 
 // TestRequestsToTheRelayKeepTheirBytes checks the request line, content type, length and body of a call and of the
@@ -59,10 +60,10 @@
 	const call = "POST /api/ HTTP/1.1\napplication/x-www-form-urlencoded\n224\n" +
 		"Action=CommitChanges&ops=share%2C4%2Cs-5%2C1.5%3Bshare%2C4%2Cs+6%2C0%3Bclear%2C3%3Bbind%2C17%2C4%2Clook%2Bissue" +
 		"%3Bwithdraw%2Cs-5%3Brestore%2Cs-7%3Badmit%2C%2A%2C%2A%2C1000000%2C1%3Badmit%2C4%2Cbook%2C0.9%2C3%3Bmark%2C905%2C1"
-	if got := receive(t, calls); got != call {
+	if got := await.Receive(t, calls); got != call {
 		t.Errorf("call\n%s\nwant\n%s", got, call)
 	}
-	if got := receive(t, streams); got != "GET /api/stream HTTP/1.1\n\n0\n" {
+	if got := await.Receive(t, streams); got != "GET /api/stream HTTP/1.1\n\n0\n" {
 		t.Errorf("request for the event stream is %q", got)
 	}
 }
@@ -71,7 +72,7 @@
 func TestEventsOfTheRelayAreRead(t *testing.T) {
 	relay := newFakeRelay(t)
 	_, events, _ := startClient(t, relay)
-	texts := receive(t, relay.streams)
+	texts := await.Receive(t, relay.streams)
 	texts <- strings.Join([]string{
 		"event: joined\ndata: node=7&locality=a&w=2.5&cold=1\n\n",
 		"event:left\ndata:node=7\n\n",
@@ -86,7 +87,7 @@
 		{Stream: 1, Kind: SnapshotComplete},
 		{Stream: 1, Kind: ProxyEvent, Event: fleet.BarrierReached{Proxy: 3, Barrier: 65535, Delay: 12_500_000}},
 	} {
-		if got := receive(t, events); got != want {
+		if got := await.Receive(t, events); got != want {
 			t.Errorf("got %+v, want %+v", got, want)
 		}
 	}
