Bound the interval between retries where the drain timeout leaves much time

Need: without askWithinMs and with a long drain timeout the interval had no bound: with 60 s of drain timeout 39 s.

Change: 5 s at most, the mean of the former backoff at its longest for the usual askWithinMs.

--- a/internal/balancer/listrequests.go
+++ b/internal/balancer/listrequests.go
@@ -6,8 +6,10 @@
 	// retryFraction is the part of the time that the drain timeout leaves after an outage that may pass until the next
 	// attempt. The other side has the rest to answer it.
 	retryFraction = 2.0 / 3
-	// minRetryInterval limits the load by attempts on sites whose drain timeout leaves no time.
+	// minRetryInterval limits the load by attempts on sites whose drain timeout leaves no time. Where it leaves much,
+	// maxRetryInterval bounds how long servers that started in the outage wait.
 	minRetryInterval = timerInterval
+	maxRetryInterval = 5 * fleet.Second
 	// listRequestJitter is the random fraction of the interval between two list requests.
 	listRequestJitter = 0.25
 	// pollIntervalDivisor limits the interval to half the poll interval.
@@ -42,7 +44,7 @@
 // fail. It is bounded by what the drain timeout leaves after the delivery of a withdrawal.
 func MaxRetryInterval(site *fleet.Site) fleet.Time {
 	left := site.DrainTimeout - maxWithdrawalDelay(site)
-	interval := max(minRetryInterval, left.Scale(retryFraction))
+	interval := min(maxRetryInterval, max(minRetryInterval, left.Scale(retryFraction)))
 	if site.MaxPollInterval > 0 {
 		interval = min(interval, site.MaxPollInterval/pollIntervalDivisor)
 	}
--- a/internal/balancer/listrequests_test.go
+++ b/internal/balancer/listrequests_test.go
@@ -90,3 +90,32 @@
 		}
 	}
 }
+
+// Guards against retries that are too frequent or too rare where the settings leave little or much time.
+func TestRetryIntervalIsBounded(t *testing.T) {
+	channel := fleet.Site{
+		EntriesPerSecond: 15000,
+		MaxBacklog:       30000,
+		MaxUpdateDelay:   480 * fleet.Millisecond,
+		MaxMessages:      20,
+		MessageWindow:    10 * fleet.Second,
+	}
+	for _, test := range []struct {
+		drainTimeout, maxPollInterval, want fleet.Time
+	}{
+		{3 * fleet.Second, 10 * fleet.Second, 1013 * fleet.Millisecond}, // two thirds of 3 - 1 - 0.48 s
+		{1 * fleet.Second, 10 * fleet.Second, minRetryInterval},
+		{0, 0, minRetryInterval},
+		{60 * fleet.Second, 4 * fleet.Second, 2 * fleet.Second},
+		{60 * fleet.Second, 0, maxRetryInterval},
+	} {
+		site := channel
+		site.DrainTimeout = test.drainTimeout
+		site.MaxPollInterval = test.maxPollInterval
+		got := MaxRetryInterval(&site)
+		if difference := got - test.want; difference < -fleet.Millisecond || difference > fleet.Millisecond {
+			t.Errorf("drain timeout %.0f s, poll interval %.0f s: %.3f s, want %.3f s",
+				test.drainTimeout.Seconds(), test.maxPollInterval.Seconds(), got.Seconds(), test.want.Seconds())
+		}
+	}
+}
