--- a/internal/server/platform.go
+++ b/internal/server/platform.go
@@ -6,11 +6,8 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"reflect"
 	"runtime"
 	"runtime/debug"
-	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,19 +31,11 @@
 	platformShutdownTimeout = 450 * time.Millisecond
 	// platformStatisticsInterval is the interval at which statistics are logged.
 	platformStatisticsInterval = 5 * time.Second
-	// platformReadinessTimeout bounds how long the controller waits for the relay and an endpoint list before it
-	// listens. The relay may be unreachable for long.
-	platformReadinessTimeout = 2 * time.Second
 	// platformListenRetryDelay is the delay between attempts to listen while the address is in use, as by a process
 	// that has just been killed.
 	platformListenRetryDelay = 50 * time.Millisecond
 	// platformListenTimeout bounds these retries. An address in use for longer is taken to belong to another program.
 	platformListenTimeout = 3 * time.Second
-	// platformReloadRetryDelay is the delay before an unreadable configuration file, which may be half written, is read
-	// again.
-	platformReloadRetryDelay = 100 * time.Millisecond
-	// maxPlatformReloadAttempts ends the retries before the old addresses close, 1.5 s after SIGHUP.
-	maxPlatformReloadAttempts = 10
 	// platformSignalCapacity is the number of signals that can wait. The os/signal package drops further ones.
 	platformSignalCapacity = 8
 )
@@ -273,53 +262,6 @@
 		Msg("statistics")
 }
 
-// reload reads the configuration and applies it. A file that cannot be read may be half written, so it is read again
-// after a delay, up to maxPlatformReloadAttempts times in all.
-func (s *platformServer) reload() {
-	s.reloadRetry = nil
-	updated, err := config.LoadPlatform(s.getenv)
-	if err == nil {
-		s.apply(updated)
-		return
-	}
-	s.reloadAttempts++
-	if s.reloadAttempts < maxPlatformReloadAttempts {
-		s.reloadRetry = time.After(platformReloadRetryDelay)
-		return
-	}
-	s.log.Error().Err(err).Msg("configuration reload failed")
-}
-
-// apply switches to the relay and discovery addresses of a new configuration. If any key that needs a restart has
-// changed, the whole configuration is rejected, including its addresses.
-func (s *platformServer) apply(updated *config.Platform) {
-	if key := restartKey(s.settings, updated); key != "" {
-		s.log.Error().Str("key", key).Msg("configuration rejected: the change needs a restart")
-		return
-	}
-	if updated.RelayAddr != s.settings.RelayAddr {
-		s.relay.SetAddress(updated.RelayAddr)
-	}
-	if updated.DiscoveryAddr != s.settings.DiscoveryAddr {
-		s.endpoints.SetAddress(updated.DiscoveryAddr)
-	}
-	s.settings = updated
-	s.log.Info().Str("relay", updated.RelayAddr).Str("discovery", updated.DiscoveryAddr).Msg("configuration reloaded")
-}
-
-// restartKey returns the first settings key whose change needs a restart, or "" if there is none.
-func restartKey(current, updated *config.Platform) string {
-	switch {
-	case updated.Name != current.Name:
-		return "name"
-	case updated.ListenAddr != current.ListenAddr:
-		return "listen"
-	case !reflect.DeepEqual(updated.Site, current.Site):
-		return "settings"
-	}
-	return ""
-}
-
 // shutdown stops all components. It waits up to platformShutdownTimeout for relay calls in flight.
 func (s *platformServer) shutdown(cancel context.CancelFunc) {
 	cancel()
@@ -338,34 +280,3 @@
 	}
 	<-s.loopDone
 }
-
-// platformReadiness tracks whether the controller may listen. The platform assigns proxies to a controller once it
-// answers a health check, so the controller listens once it is connected to the relay and has an endpoint list, or
-// after platformReadinessTimeout. It is safe for concurrent use.
-type platformReadiness struct {
-	connected atomic.Bool // an event has arrived from the relay
-	listed    atomic.Bool // a list with endpoints is known
-	ready     chan struct{}
-	markReady func() // closes ready; further calls do nothing
-}
-
-func newPlatformReadiness(listed bool) *platformReadiness {
-	r := &platformReadiness{ready: make(chan struct{})}
-	r.listed.Store(listed)
-	r.markReady = sync.OnceFunc(func() { close(r.ready) })
-	return r
-}
-
-func (r *platformReadiness) relayConnected() {
-	r.connected.Store(true)
-	if r.listed.Load() {
-		r.markReady()
-	}
-}
-
-func (r *platformReadiness) endpointsListed() {
-	r.listed.Store(true)
-	if r.connected.Load() {
-		r.markReady()
-	}
-}
